--- /dev/null
+++ b/cmd/cranberrylock-router/main.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlcommand"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlrouter"
+	"github.com/cranberrylock/cranberrylock/platform"
+)
+
+type options struct {
+	Settings      string `long:"settings" description:"settings file; default: the file that the platform names"`
+	CheckSettings bool   `long:"check-settings" description:"check the settings file and exit"`
+}
+
+func main() { os.Exit(start(os.Args[1:])) }
+
+func start(arguments []string) int {
+	var o options
+	if exit, ok := crlcommand.Parse(&o, arguments); !ok {
+		return exit
+	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	load := func() (*crlrouter.Settings, error) { return loadSettings(o.Settings) }
+	settings, err := load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return crlcommand.ExitUsage
+	}
+	if o.CheckSettings {
+		fmt.Printf("%s: settings of router %s are valid\n", o.Settings, settings.Daemon)
+		return crlcommand.ExitDone
+	}
+	if err := serve(settings, load); err != nil {
+		fmt.Fprintf(os.Stderr, "router: %v\n", err)
+		return crlcommand.ExitFailure
+	}
+	return crlcommand.ExitDone
+}
+
+func loadSettings(path string) (*crlrouter.Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return platform.ParseSettings(path, content)
+}
+
+// serve runs a router until SIGTERM.
+func serve(settings *crlrouter.Settings, load func() (*crlrouter.Settings, error)) error {
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	lines := crllog.New(crllog.Config{Output: os.Stdout})
+	writing, end := context.WithCancel(context.Background())
+	written := make(chan error, 1)
+	go func() { written <- lines.Run(writing) }()
+	defer func() {
+		end()
+		<-written
+	}()
+	router := crlrouter.New(crlrouter.Config{
+		Settings: settings,
+		Log:      platform.NewStore(platform.StoreConfig{Address: settings.Store, Client: &http.Client{Transport: platform.NewTransport()}}),
+		Topics:   crlrouter.Topics{Orders: platform.TopicOrders, Servers: platform.TopicServers, Status: platform.TopicStatus},
+		Codec:    platform.Codec{}, Dialect: platform.Dialect{}, Lines: lines, Clock: crlclock.Boot, Reload: load,
+	})
+	return router.Run(stop)
+}
--- /dev/null
+++ b/crlfleet/fleet.go
@@ -0,0 +1,189 @@
+package crlfleet
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+// Entry is what a backend server announces of itself.
+type Entry struct {
+	Server   crlid.Server
+	Service  crlid.Service
+	Address  string
+	Domain   crlid.Domain
+	Version  crlid.Version
+	Slots    int
+	Leaving  bool          // Leaving servers finish their work and get nothing new.
+	ColdLeft time.Duration // ColdLeft is how much longer the server bears only little load.
+	Born     time.Time     // Born is the start of the server; another one means that it lost all it held.
+}
+
+// Config configures a Fleet.
+type Config struct {
+	Domain    crlid.Domain     // Domain is the daemon's own failure domain.
+	Share     func() float64   // Share returns the daemon's part of limits that all daemons share, above 0 and at most 1.
+	ColdRatio float64          // ColdRatio and ColdSlack bound the requests to a cold server in a second: rate * ratio + slack.
+	ColdSlack float64          // ColdSlack is in requests.
+	Random    func() float64   // Random returns numbers in [0, 1); nil for the runtime's.
+	Now       crlclock.Clock   // Now tells the time.
+	Log       func(Transition) // Log takes each change of what the fleet believes of a server.
+}
+
+//go:generate go run github.com/dmarkham/enumer -type=Belief -trimprefix=Belief -transform=kebab -text -output=belief_enumer.go
+
+// Belief is what the fleet believes of a server.
+type Belief int
+
+// What the fleet may come to believe.
+const (
+	BeliefIn      Belief = iota // BeliefIn servers take work.
+	BeliefLeaving               // BeliefLeaving servers have announced that they leave.
+	BeliefGone                  // BeliefGone servers have no entry any more.
+	BeliefReborn                // BeliefReborn servers have started again.
+	BeliefCold                  // BeliefCold servers bear only little load.
+	BeliefSuspect               // BeliefSuspect servers failed and rest for a while.
+)
+
+// Transition is one change of what the fleet believes of a server.
+type Transition struct {
+	Server crlid.Server
+	Entry  Entry
+	Belief Belief
+	Cause  string
+}
+
+// server is one backend server with what the daemon saw of it.
+type server struct {
+	entry     Entry
+	coldUntil crlclock.Instant
+	cold      crlbudget.Bucket
+	open      int
+	work      float64 // work is the open work in seconds of an unloaded server.
+	health    health
+	removed   bool
+}
+
+// Fleet holds the known servers; it may be used by several goroutines.
+type Fleet struct {
+	config    Config
+	mu        sync.Mutex // mu guards all below.
+	servers   map[crlid.Server]*server
+	services  map[crlid.Service][]*server
+	evacuated map[crlid.Domain]bool
+	pace      map[crlid.Service]*average // pace is the usual latency of a service's answers against what was expected.
+}
+
+// New returns a fleet without servers.
+func New(config Config) *Fleet {
+	if config.Random == nil {
+		config.Random = rand.Float64
+	}
+	if config.Log == nil {
+		config.Log = func(Transition) {}
+	}
+	return &Fleet{
+		config: config, servers: make(map[crlid.Server]*server), services: make(map[crlid.Service][]*server),
+		evacuated: make(map[crlid.Domain]bool), pace: make(map[crlid.Service]*average),
+	}
+}
+
+// Announce takes the entry of a server; replayed is set for entries that may be older than the daemon's other knowledge.
+func (f *Fleet) Announce(e Entry, now crlclock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.servers[e.Server]
+	if !ok {
+		s = &server{entry: e}
+		f.servers[e.Server] = s
+		f.services[e.Service] = append(f.services[e.Service], s)
+		f.config.Log(Transition{Server: e.Server, Entry: e, Belief: BeliefIn, Cause: "announced"})
+	}
+	before := s.entry
+	s.entry, s.removed = e, false
+	if before.Service != e.Service {
+		f.unlist(s, before.Service)
+		f.services[e.Service] = append(f.services[e.Service], s)
+	}
+	if !before.Born.Equal(e.Born) || before.Address != e.Address {
+		s.health = health{}
+		f.config.Log(Transition{Server: e.Server, Entry: e, Belief: BeliefReborn, Cause: "announced another start"})
+	}
+	if e.Leaving && !before.Leaving {
+		f.config.Log(Transition{Server: e.Server, Entry: e, Belief: BeliefLeaving, Cause: "announced"})
+	}
+	if e.ColdLeft > 0 {
+		if s.coldUntil < now {
+			f.config.Log(Transition{Server: e.Server, Entry: e, Belief: BeliefCold, Cause: "announced"})
+		}
+		s.coldUntil = max(s.coldUntil, now.Add(e.ColdLeft))
+	}
+}
+
+// Remove takes that a server has no entry any more.
+func (f *Fleet) Remove(id crlid.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	s.removed = true
+	delete(f.servers, id)
+	f.unlist(s, s.entry.Service)
+	f.config.Log(Transition{Server: id, Entry: s.entry, Belief: BeliefGone, Cause: "entry removed"})
+}
+
+// unlist takes a server off the list of a service.
+func (f *Fleet) unlist(s *server, service crlid.Service) {
+	list := f.services[service]
+	kept := make([]*server, 0, len(list))
+	for _, other := range list {
+		if other != s {
+			kept = append(kept, other)
+		}
+	}
+	f.services[service] = kept
+}
+
+// Servers returns the ids of all servers that have an entry.
+func (f *Fleet) Servers() []crlid.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ids := make([]crlid.Server, 0, len(f.servers))
+	for id := range f.servers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Evacuate takes whether a failure domain is to get nothing.
+func (f *Fleet) Evacuate(domain crlid.Domain, out bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuated[domain] = out
+}
+
+// Capacity returns how many servers of a service take work, those of one version and all others.
+func (f *Fleet) Capacity(service crlid.Service, version crlid.Version) (of, others int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services[service] {
+		switch {
+		case !f.inService(s):
+		case s.entry.Version == version:
+			of++
+		default:
+			others++
+		}
+	}
+	return of, others
+}
+
+func (f *Fleet) inService(s *server) bool {
+	return !s.removed && !s.entry.Leaving && !f.evacuated[s.entry.Domain]
+}
--- /dev/null
+++ b/crlfleet/pick.go
@@ -0,0 +1,195 @@
+package crlfleet
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+// Causes for which no server can be picked.
+var (
+	ErrNoServer = errors.New("no backend server of the service takes work")
+	ErrCold     = errors.New("every backend server of the service is cold and has its share of requests")
+)
+
+// Need says what a request asks of a server.
+type Need struct {
+	Service  crlid.Service
+	Allows   func(crlid.Version) bool // Allows tells on which versions the request may run.
+	Prefers  func(crlid.Version) bool // Prefers tells on which of those it should run.
+	Work     float64                  // Work is the request's cost in seconds of an unloaded server.
+	Expected time.Duration            // Expected is the usual time to the first byte on an unloaded server.
+	ColdRate float64                  // ColdRate is the requests per second that a cold server of the service bears, 0 for no limit.
+	Exclude  map[crlid.Server]bool    // Exclude holds servers that this request was sent to before.
+}
+
+// Pick is a server that a request may be sent to; Done must be called once.
+type Pick struct {
+	Server   crlid.Server
+	Address  string
+	Domain   crlid.Domain
+	Version  crlid.Version
+	Expected time.Duration
+	fleet    *Fleet
+	server   *server
+	work     float64
+}
+
+// crossDomain is the extra cost of a server in another failure domain, in requests.
+const crossDomain = 0.25
+
+// Pick returns the server with the least open work for its pace, or ErrNoServer or ErrCold.
+func (f *Fleet) Pick(need Need) (*Pick, error) {
+	now := f.config.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, preferred := range []bool{true, false} {
+		for _, rested := range []bool{true, false} {
+			if s := f.best(need, preferred, rested, now); s != nil {
+				s.open++
+				s.work += need.Work
+				return &Pick{
+					Server: s.entry.Server, Address: s.entry.Address, Domain: s.entry.Domain, Version: s.entry.Version,
+					Expected: need.Expected, fleet: f, server: s, work: need.Work,
+				}, nil
+			}
+		}
+	}
+	for _, s := range f.services[need.Service] {
+		if f.inService(s) && need.Allows(s.entry.Version) && !need.Exclude[s.entry.Server] {
+			return nil, ErrCold
+		}
+	}
+	return nil, ErrNoServer
+}
+
+// best returns the candidate with the lowest score that has a token left if it is cold, or nil.
+func (f *Fleet) best(need Need, preferred, rested bool, now crlclock.Instant) *server {
+	tried := make(map[*server]bool)
+	for {
+		var best *server
+		var lowest float64
+		for _, s := range f.services[need.Service] {
+			if tried[s] || !f.inService(s) || need.Exclude[s.entry.Server] || !need.Allows(s.entry.Version) ||
+				preferred && !need.Prefers(s.entry.Version) || rested && s.health.restsUntil > now {
+				continue
+			}
+			if score := f.score(s, need, now); best == nil || score < lowest {
+				best, lowest = s, score
+			}
+		}
+		if best == nil || f.takeCold(best, need, now) {
+			return best
+		}
+		tried[best] = true
+	}
+}
+
+func (f *Fleet) score(s *server, need Need, now crlclock.Instant) float64 {
+	usual := f.pace[need.Service].mean(1)
+	slowness := max(s.health.latency.mean(usual)/usual, 1)
+	score := (s.work + need.Work) * slowness
+	if s.coldUntil > now {
+		score += need.Work
+	}
+	if s.entry.Domain != f.config.Domain {
+		score += crossDomain * need.Work
+	}
+	return score + f.config.Random()*crossDomain*need.Work/2
+}
+
+// takeCold takes a token of a cold server; others need none.
+func (f *Fleet) takeCold(s *server, need Need, now crlclock.Instant) bool {
+	if need.ColdRate <= 0 || s.coldUntil <= now {
+		return true
+	}
+	share := f.config.Share()
+	// Rate and burst together stay under rate * ratio + slack in each second.
+	return s.cold.Take(crlbudget.Limit{
+		PerSecond: need.ColdRate * share,
+		Burst:     max(1, ((f.config.ColdRatio-1)*need.ColdRate+f.config.ColdSlack)*share),
+	}, now)
+}
+
+//go:generate go run github.com/dmarkham/enumer -type=Outcome -trimprefix=Outcome -transform=kebab -text -output=outcome_enumer.go
+
+// Outcome is how a send ended, as far as it speaks for or against the server.
+type Outcome int
+
+// The outcomes of a send.
+const (
+	OutcomeAnswered    Outcome = iota // OutcomeAnswered sends got a whole answer that is no failure.
+	OutcomeFailed                     // OutcomeFailed sends got a failure, a broken answer or none.
+	OutcomeUnreachable                // OutcomeUnreachable sends got no connection.
+	OutcomeFull                       // OutcomeFull sends were refused for want of room.
+	OutcomeNeutral                    // OutcomeNeutral sends were given up for a reason that is not the server's.
+	OutcomeMoved                      // OutcomeMoved sends met another server at the address.
+)
+
+// Result is what a send showed of the server.
+type Result struct {
+	Outcome   Outcome
+	FirstByte time.Duration // FirstByte is the time to the first byte of the answer, 0 if there was none.
+}
+
+// Done gives the server back with what the send showed.
+func (p *Pick) Done(r Result) {
+	f := p.fleet
+	now := f.config.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.server.open--
+	p.server.work -= p.work
+	if p.server.open == 0 {
+		p.server.work = 0
+	}
+	p.observe(r, now)
+}
+
+func (p *Pick) observe(r Result, now crlclock.Instant) {
+	f, h := p.fleet, &p.server.health
+	switch r.Outcome {
+	case OutcomeAnswered:
+		h.answered()
+		h.rests = 0
+	case OutcomeMoved:
+		f.suspend(p.server, now, "another server answers at its address")
+	case OutcomeUnreachable:
+		f.suspend(p.server, now, "no connection")
+	case OutcomeFailed:
+		if h.failed() {
+			f.suspend(p.server, now, "failures")
+		}
+	case OutcomeFull, OutcomeNeutral:
+	}
+	if r.FirstByte > 0 && p.Expected > 0 {
+		factor := min(float64(r.FirstByte)/float64(p.Expected), longestFactor)
+		h.latency.add(factor)
+		if f.pace[p.server.entry.Service] == nil {
+			f.pace[p.server.entry.Service] = &average{}
+		}
+		f.pace[p.server.entry.Service].add(factor)
+	}
+}
+
+// suspend lets a server rest unless too many of its service do.
+func (f *Fleet) suspend(s *server, now crlclock.Instant, cause string) {
+	resting, all := 0, 0
+	for _, other := range f.services[s.entry.Service] {
+		if !f.inService(other) {
+			continue
+		}
+		all++
+		if other.health.restsUntil > now {
+			resting++
+		}
+	}
+	if float64(resting+1) > maxSuspects*float64(all) && all > 1 {
+		return
+	}
+	s.health.rest(now)
+	f.config.Log(Transition{Server: s.entry.Server, Entry: s.entry, Belief: BeliefSuspect, Cause: cause})
+}
--- /dev/null
+++ b/crlforward/carry.go
@@ -0,0 +1,109 @@
+package crlforward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+// noServerRetryAfter is about the time in which a server that started is announced.
+const noServerRetryAfter = time.Second
+
+// carry sends a request until it has an answer, it may not be sent again, or its time is over.
+func (s *Service) carry(ctx context.Context, x *exchange) *Refusal {
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	plan := s.newModelPlan(x)
+	for {
+		if ctx.Err() != nil {
+			return x.ended(causeOf(ctx, x))
+		}
+		if refusal := s.mayCarryOn(x, plan); refusal != nil {
+			return refusal
+		}
+		pick, err := s.pick(x, plan)
+		if err != nil {
+			return x.noServer(err)
+		}
+		switch s.send(ctx, x, pick, plan) {
+		case verdictAnswered:
+			return nil
+		case verdictAgain:
+		case verdictEscalate:
+			plan.escalate()
+		case verdictFinal:
+			if ctx.Err() != nil {
+				return x.ended(causeOf(ctx, x))
+			}
+			return x.ended(ReasonOutcomeUnknown)
+		}
+	}
+}
+
+// mayCarryOn tells whether one more send is within the attempts and the shared budget.
+func (s *Service) mayCarryOn(x *exchange, plan *modelPlan) *Refusal {
+	if x.sends == 0 {
+		return nil
+	}
+	if x.sends >= x.route.Attempts {
+		return x.ended(ReasonAttempts)
+	}
+	if plan.paid {
+		plan.paid = false
+		return nil
+	}
+	if !s.config.Retries.Spend(x.service.Name, crlbudget.MarginNone, s.config.Now()) {
+		return x.ended(ReasonNoBudget)
+	}
+	return nil
+}
+
+// ended returns the refusal that is true of a request whose sends are over.
+func (x *exchange) ended(reason string) *Refusal {
+	switch {
+	case x.mayRun && (reason == ReasonRouteTimeout || reason == ReasonDeadline):
+		return refuse(http.StatusGatewayTimeout, reason)
+	case x.mayRun:
+		return refuse(http.StatusBadGateway, reason)
+	default:
+		return unavailable(reason, overloadRetryAfter)
+	}
+}
+
+func (x *exchange) noServer(err error) *Refusal {
+	reason := ReasonNoServer
+	if errors.Is(err, crlfleet.ErrCold) {
+		reason = ReasonOverloaded
+	}
+	refusal := x.ended(reason)
+	if refusal.RetryAfter > 0 {
+		refusal.RetryAfter = noServerRetryAfter
+	}
+	return refusal
+}
+
+// pick chooses the server of the next send.
+func (s *Service) pick(x *exchange, plan *modelPlan) (*crlfleet.Pick, error) {
+	x.plan = s.config.Rollouts.Plan(x.service.Name, s.config.Now(), s.config.Fleet.Capacity)
+	key := sessionKey{service: x.service.Name, session: x.session()}
+	if x.sends == 0 {
+		x.last = s.sessions.version(key)
+	}
+	target := x.plan.Prefers(xxhash.Sum64String(key.session), x.last)
+	pinned := x.plan.Pinned && x.last != ""
+	cost := plan.cost(x)
+	return s.config.Fleet.Pick(crlfleet.Need{
+		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, Work: cost.work, Expected: cost.firstByte,
+		Allows: func(v crlid.Version) bool {
+			return x.plan.Allows(v) && (!pinned || v == x.last || v != x.plan.Target)
+		},
+		Prefers: func(v crlid.Version) bool { return x.plan.Target == "" || (v == x.plan.Target) == target },
+	})
+}
--- /dev/null
+++ b/crlforward/metrics.go
@@ -0,0 +1,42 @@
+package crlforward
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics count requests and sends.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	sends    prometheus.Counter
+	latency  *prometheus.HistogramVec
+}
+
+// NewMetrics returns metrics that are registered.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cranberrylock_forward_requests_total", Help: "Requests by kind of route and outcome.",
+		}, []string{"kind", "outcome"}),
+		sends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cranberrylock_forward_sends_total", Help: "Sends to backend servers.",
+		}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cranberrylock_forward_duration_seconds", Help: "Time from arrival to the end of the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+		}, []string{"kind"}),
+	}
+	registry.MustRegister(m.requests, m.sends, m.latency)
+	return m
+}
+
+func (m *Metrics) observe(x *exchange, route string, lasted time.Duration) {
+	kind := "none"
+	if route != "" {
+		kind = x.route.Kind.String()
+	}
+	m.requests.WithLabelValues(kind, x.trace.outcome).Inc()
+	m.sends.Add(float64(len(x.trace.sends)))
+	m.latency.WithLabelValues(kind).Observe(lasted.Seconds())
+}
--- /dev/null
+++ b/crlforward/send.go
@@ -0,0 +1,224 @@
+package crlforward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlrollout"
+	"github.com/cranberrylock/cranberrylock/crlroute"
+)
+
+//go:generate go run github.com/dmarkham/enumer -type=verdict -trimprefix=verdict -transform=kebab -text -output=verdict_enumer.go
+
+// verdict is how a send leaves the request.
+type verdict int
+
+const (
+	verdictAnswered verdict = iota // verdictAnswered requests have their answer.
+	verdictAgain                   // verdictAgain requests may be sent to another server.
+	verdictEscalate                // verdictEscalate requests are sent again, to the largest model.
+	verdictFinal                   // verdictFinal requests may not be sent again.
+)
+
+// replyBytes bounds the part of a plain answer that is held back until the answer is whole.
+const replyBytes = 1 << 20
+
+// reply is a whole answer of a backend server.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, name := range connectionHeaders {
+		to.Del(name)
+	}
+}
+
+func (r *reply) write(w http.ResponseWriter) {
+	copyHeader(w.Header(), r.header)
+	w.WriteHeader(r.status)
+	// A caller that left gets nothing; the server notices that by itself.
+	_, _ = w.Write(r.body)
+}
+
+// send makes one attempt and relays its answer where that is final.
+func (s *Service) send(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) verdict {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	result := crlfleet.Result{Outcome: crlfleet.OutcomeNeutral}
+	defer func() { pick.Done(result) }()
+	x.sends++
+	x.tried[pick.Server] = true
+	began := time.Now()
+	var connected atomic.Bool
+	request := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}), x, pick, plan)
+	response, err := s.config.Transport.RoundTrip(request)
+	if err != nil {
+		return s.unanswered(ctx, x, pick, &result, err, connected.Load())
+	}
+	defer response.Body.Close()
+	head := s.config.Dialect.DecodeAnswer(response.StatusCode, response.Header)
+	result.FirstByte = time.Since(began)
+	x.noteSend(pick, response.StatusCode, result.FirstByte, "")
+	if head.NotRun {
+		result.Outcome, result.FirstByte = crlfleet.OutcomeFull, 0
+		if response.StatusCode == http.StatusMisdirectedRequest {
+			result.Outcome = crlfleet.OutcomeMoved
+		}
+		return verdictAgain
+	}
+	x.mayRun = true
+	s.sessions.note(sessionKey{service: x.service.Name, session: x.session()}, pick.Version)
+	if head.Request != x.head.Request {
+		result.Outcome = crlfleet.OutcomeFailed
+		return s.repeat(x)
+	}
+	var v verdict
+	if response.StatusCode < http.StatusMultipleChoices && x.route.Kind == crlroute.KindStream {
+		v, result.Outcome = s.relay(ctx, x, response, head, plan)
+	} else {
+		v, result.Outcome = s.collect(ctx, x, response, head)
+	}
+	s.observe(x, pick, result, plan)
+	return v
+}
+
+func (s *Service) newRequest(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) *http.Request {
+	header := x.request.Header.Clone()
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+	if header.Get("User-Agent") == "" {
+		header.Set("User-Agent", "") // An empty value keeps net/http from adding its own.
+	}
+	s.config.Dialect.EncodeAttempt(header, Attempt{
+		Server: pick.Server, Organisation: x.caller.Name, Model: plan.model(), Deadline: time.Until(x.deadline),
+		After: x.stream.last, Resumes: x.head.Resumes || x.stream.last > 0, Urgency: x.urgency(),
+	})
+	request := &http.Request{
+		Method: x.request.Method, Host: x.request.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		// An opaque URL goes out byte for byte.
+		URL: &url.URL{Scheme: "http", Host: pick.Address, Opaque: x.request.RequestURI},
+	}
+	if len(x.body) > 0 {
+		// Without GetBody, net/http never sends a request again by itself.
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
+	}
+	return request.WithContext(ctx)
+}
+
+// urgency ranks the request at its server: the organisation's rank goes before the route's.
+func (x *exchange) urgency() int {
+	if x.service.Slots == 0 {
+		return -1
+	}
+	return min(max(x.route.Priority, 0), 9)
+}
+
+// unanswered judges a send that got no head of an answer.
+func (s *Service) unanswered(ctx context.Context, x *exchange, pick *crlfleet.Pick, result *crlfleet.Result, err error, connected bool) verdict {
+	x.noteSend(pick, 0, 0, err.Error())
+	if !connected {
+		if ctx.Err() == nil {
+			result.Outcome = crlfleet.OutcomeUnreachable
+		}
+		return verdictAgain
+	}
+	x.mayRun = true
+	if ctx.Err() != nil {
+		return verdictFinal
+	}
+	result.Outcome = crlfleet.OutcomeFailed
+	s.observe(x, pick, *result, nil)
+	return s.repeat(x)
+}
+
+// repeat is the verdict on a failure of a request that may have run.
+func (s *Service) repeat(x *exchange) verdict {
+	if x.route.Repeatable() {
+		return verdictAgain
+	}
+	return verdictFinal
+}
+
+// collect reads a plain answer whole and delivers it, unless it is a failure that another server may do better.
+func (s *Service) collect(ctx context.Context, x *exchange, response *http.Response, head AnswerHead) (verdict, crlfleet.Outcome) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, replyBytes+1))
+	if err != nil {
+		if ctx.Err() != nil {
+			return verdictFinal, crlfleet.OutcomeNeutral
+		}
+		x.trace.cause = err.Error()
+		return s.repeat(x), crlfleet.OutcomeFailed
+	}
+	answer := &reply{status: response.StatusCode, header: response.Header, body: body}
+	if response.StatusCode < http.StatusMultipleChoices && !head.Signed {
+		x.trace.cause = "success without a signature"
+		return s.repeat(x), crlfleet.OutcomeFailed
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		x.failure = answer
+		if x.route.Repeatable() && x.sends < x.route.Attempts {
+			return verdictAgain, crlfleet.OutcomeFailed
+		}
+		return verdictFinal, crlfleet.OutcomeFailed
+	}
+	x.trace.status = answer.status
+	if len(body) > replyBytes {
+		return s.pass(x, answer, response)
+	}
+	answer.write(x.writer)
+	return verdictAnswered, crlfleet.OutcomeAnswered
+}
+
+// pass delivers an answer that is too large to be held back.
+func (s *Service) pass(x *exchange, answer *reply, response *http.Response) (verdict, crlfleet.Outcome) {
+	answer.write(x.writer)
+	x.stream.begun = true
+	if _, err := io.Copy(x.writer, response.Body); err != nil {
+		x.trace.cause = err.Error()
+		return verdictFinal, crlfleet.OutcomeFailed
+	}
+	return verdictAnswered, crlfleet.OutcomeAnswered
+}
+
+// slowFactor is how much later than usual an answer of a new version counts as bad.
+const slowFactor = 5
+
+// observe gives what a send showed to the roll-outs of the service.
+func (s *Service) observe(x *exchange, pick *crlfleet.Pick, result crlfleet.Result, _ *modelPlan) {
+	if x.plan.Target == "" || result.Outcome == crlfleet.OutcomeNeutral {
+		return
+	}
+	bad := result.Outcome != crlfleet.OutcomeAnswered || result.FirstByte > slowFactor*pick.Expected+time.Second
+	if s.config.Rollouts.Observe(crlrollout.Observation{Service: x.service.Name, Version: pick.Version, Bad: bad}) {
+		s.logCondemned(x, pick)
+	}
+}
+
+// escalates decides whether an answer is dropped for a larger model's.
+func (s *Service) escalates(x *exchange, head AnswerHead, plan *modelPlan) bool {
+	return plan.mayEscalate() && !x.stream.begun && x.sends < x.route.Attempts && x.route.Repeatable() &&
+		head.Confidence != NoConfidence && head.Confidence < escalateBelow &&
+		s.config.Retries.Spend(x.service.Name, crlbudget.MarginCascade, s.config.Now())
+}
--- /dev/null
+++ b/crlforward/trace.go
@@ -0,0 +1,75 @@
+package crlforward
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crllog"
+)
+
+// Events that a Service logs.
+const (
+	EventRequest   crllog.Event = "request"
+	EventCondemned crllog.Event = "version-condemned"
+)
+
+// sendTrace is one send of a request.
+type sendTrace struct {
+	Server  string  `json:"server"`
+	Version string  `json:"version"`
+	Status  int     `json:"status"`
+	FirstMS float64 `json:"first-ms"`
+	Cause   string  `json:"cause,omitempty"`
+}
+
+// trace is what a request's line in the log says.
+type trace struct {
+	outcome    string
+	cause      string
+	status     int
+	confidence int
+	proofAge   time.Duration
+	sends      []sendTrace
+}
+
+func (x *exchange) noteSend(pick *crlfleet.Pick, status int, first time.Duration, cause string) {
+	x.trace.sends = append(x.trace.sends, sendTrace{
+		Server: string(pick.Server), Version: string(pick.Version), Status: status,
+		FirstMS: float64(first.Microseconds()) / 1000, Cause: cause,
+	})
+}
+
+// finish logs and counts a request that has its answer.
+func (s *Service) finish(x *exchange, status int) {
+	lasted := time.Since(x.arrived)
+	route := ""
+	attributes := []slog.Attr{
+		slog.String("request", string(x.head.Request)), slog.String("outcome", x.trace.outcome),
+		slog.Int("status", status), slog.Duration("lasted-ms", lasted),
+	}
+	if x.route != nil {
+		route = string(x.route.Name)
+		attributes = append(attributes, slog.String("route", route), slog.Int64("configuration", x.table.Version()))
+	}
+	if len(x.trace.sends) > 0 {
+		attributes = append(attributes, slog.Any("sends", x.trace.sends))
+	}
+	if x.stream.last > 0 {
+		attributes = append(attributes, slog.Int64("last-event", x.stream.last))
+	}
+	if x.trace.cause != "" {
+		attributes = append(attributes, slog.String("cause", x.trace.cause))
+	}
+	if x.trace.proofAge > 0 {
+		attributes = append(attributes, slog.Duration("proof-age-ms", x.trace.proofAge))
+	}
+	s.config.Log.Event(EventRequest, attributes...)
+	s.config.Metrics.observe(x, route, lasted)
+}
+
+func (s *Service) logCondemned(x *exchange, pick *crlfleet.Pick) {
+	s.config.Log.Event(EventCondemned,
+		slog.String("request", string(x.head.Request)), slog.String("service", string(x.service.Name)),
+		slog.String("version", string(pick.Version)), slog.Int64("order", int64(x.plan.Ordered)))
+}
--- a/crlid/id.go
+++ b/crlid/id.go
@@ -14,6 +14,9 @@
 // Service names a plain service beside the model engines.
 type Service string
 
+// Route names one route of a routing table.
+type Route string
+
 // Server names a backend server: a model engine or a plain service instance.
 type Server string
 
--- /dev/null
+++ b/crlrollout/book.go
@@ -0,0 +1,287 @@
+package crlrollout
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+//go:generate go run github.com/dmarkham/enumer -type=State -trimprefix=State -transform=kebab -text -output=state_enumer.go
+
+// State is how far a roll-out is.
+type State int
+
+// The states of a roll-out.
+const (
+	StateUnknown    State = iota // StateUnknown means that no daemon has written a state yet.
+	StateRunning                 // StateRunning roll-outs move work to the target step by step.
+	StateCompleted               // StateCompleted roll-outs leave all work to the target.
+	StateRolledBack              // StateRolledBack roll-outs send the target nothing more.
+)
+
+// Order asks to move a service to another version of its servers.
+type Order struct {
+	Service crlid.Service
+	Target  crlid.Version
+	Over    time.Duration // Over is the time within which the move should be complete.
+	Offset  crlid.Offset  // Offset is the order's place in the operators' topic.
+}
+
+// Status is a state as a daemon wrote it.
+type Status struct {
+	Service crlid.Service
+	Target  crlid.Version
+	State   State
+	Offset  crlid.Offset
+}
+
+// step is the share of the work that the target gets from a part of the time on.
+type step struct{ from, share float64 }
+
+// steps keeps the target's part of all requests under 0.12 until completion: 0.5*0.05 + 0.1*0.1 + 0.16*0.25 + 0.04*1.
+var steps = []step{{0, 0.05}, {0.5, 0.1}, {0.6, 0.25}, {0.76, 1}}
+
+const (
+	// completeAt is the part of the time after which a target without a finding is complete.
+	completeAt = 0.8
+	// pinnedUntil is the part of the time in which sessions stay on the version that they have.
+	pinnedUntil = 0.5
+	// takenOverAt is the part of the time that is taken as passed when a daemon meets a running roll-out at its start.
+	takenOverAt = 0.4
+	// minCapacity is the least part of the old version's servers that the target must have to get more than the first step.
+	minCapacity = 0.5
+)
+
+// rollout is what a book knows of one order.
+type rollout struct {
+	order   Order
+	began   crlclock.Instant
+	status  Status
+	target  tally
+	old     tally
+	bad     bool
+	answers int
+}
+
+// Book holds the roll-outs of all services; it may be used by several goroutines.
+type Book struct {
+	mu       sync.Mutex // mu guards rollouts and statuses.
+	rollouts map[crlid.Service]*rollout
+	statuses map[crlid.Service]Status
+}
+
+// NewBook returns a book without orders.
+func NewBook() *Book {
+	return &Book{rollouts: make(map[crlid.Service]*rollout), statuses: make(map[crlid.Service]Status)}
+}
+
+// Order takes an order; found is set when it stood in the topic before this daemon started.
+func (b *Book) Order(order Order, found bool, now crlclock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known, ok := b.rollouts[order.Service]; ok && known.order.Offset >= order.Offset {
+		return
+	}
+	r := &rollout{order: order, began: now}
+	status, ok := b.statuses[order.Service]
+	if ok && status.Target == order.Target && found {
+		r.status = status
+		r.began = now.Add(-time.Duration(takenOverAt * float64(order.Over)))
+	}
+	b.rollouts[order.Service] = r
+}
+
+// Withdraw forgets the order of a service unless its target has taken over.
+func (b *Book) Withdraw(service crlid.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r, ok := b.rollouts[service]; ok && r.status.State != StateCompleted && r.status.State != StateRolledBack {
+		delete(b.rollouts, service)
+	}
+}
+
+// Status takes a state that was written for a service and reports whether it changed what is known.
+func (b *Book) Status(status Status) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.statuses[status.Service] = status
+	r, ok := b.rollouts[status.Service]
+	if !ok || r.order.Target != status.Target || r.status.State == status.State {
+		return false
+	}
+	r.status = status
+	return true
+}
+
+// Observation is one answer of a server of a service under roll-out.
+type Observation struct {
+	Service crlid.Service
+	Version crlid.Version
+	Bad     bool // Bad answers failed, or came several times later than usual.
+}
+
+// Observe takes an answer and reports whether it is the one that condemns the target.
+func (b *Book) Observe(o Observation) (condemned bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rollouts[o.Service]
+	if !ok || r.bad || r.status.State == StateCompleted || r.status.State == StateRolledBack {
+		return false
+	}
+	if o.Version != r.order.Target {
+		r.old.add(o.Bad)
+		return false
+	}
+	r.target.add(o.Bad)
+	r.bad = r.target.worse(r.old)
+	return r.bad
+}
+
+// Plan tells which version a request of a service should run on.
+type Plan struct {
+	Target  crlid.Version // Target is empty when no roll-out was ordered.
+	Share   float64       // Share is the part of the new work that the target gets.
+	Pinned  bool          // Pinned keeps sessions on the version that they have.
+	Only    bool          // Only forbids all versions but the target.
+	Barred  bool          // Barred forbids the target.
+	Ordered crlid.Offset
+}
+
+// Capacity tells how many servers of a version take new work.
+type Capacity func(service crlid.Service, version crlid.Version) (target, others int)
+
+// Plan returns what holds for a service now.
+func (b *Book) Plan(service crlid.Service, now crlclock.Instant, capacity Capacity) Plan {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rollouts[service]
+	if !ok {
+		return Plan{}
+	}
+	return r.plan(now, capacity)
+}
+
+func (r *rollout) plan(now crlclock.Instant, capacity Capacity) Plan {
+	p := Plan{Target: r.order.Target, Ordered: r.order.Offset}
+	switch {
+	case r.status.State == StateCompleted:
+		p.Only, p.Share = true, 1
+	case r.bad || r.status.State == StateRolledBack:
+		p.Barred = true
+	default:
+		passed := r.passed(now)
+		p.Pinned = passed < pinnedUntil
+		for _, s := range steps {
+			if passed >= s.from {
+				p.Share = s.share
+			}
+		}
+		if !r.enough(capacity) {
+			p.Share = min(p.Share, steps[0].share)
+		}
+	}
+	return p
+}
+
+func (r *rollout) passed(now crlclock.Instant) float64 {
+	if r.order.Over <= 0 {
+		return 1
+	}
+	return float64(now.Sub(r.began)) / float64(r.order.Over)
+}
+
+func (r *rollout) enough(capacity Capacity) bool {
+	target, others := capacity(r.order.Service, r.order.Target)
+	return target > 0 && float64(target) >= minCapacity*float64(others)
+}
+
+// Due returns the states that should be written now.
+func (b *Book) Due(now crlclock.Instant, capacity Capacity) []Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var due []Status
+	for _, r := range b.rollouts {
+		if state := r.due(now, capacity); state != r.status.State {
+			due = append(due, Status{Service: r.order.Service, Target: r.order.Target, State: state})
+		}
+	}
+	return due
+}
+
+func (r *rollout) due(now crlclock.Instant, capacity Capacity) State {
+	switch {
+	case r.status.State == StateCompleted || r.status.State == StateRolledBack:
+		return r.status.State
+	case r.bad:
+		return StateRolledBack
+	case r.passed(now) >= completeAt && r.enough(capacity):
+		return StateCompleted
+	default:
+		return StateRunning
+	}
+}
+
+// Prefers reports whether a request should run on the target.
+//
+// hash spreads requests without a session; last is the version of the session's request before, empty if there was none.
+func (p Plan) Prefers(hash uint64, last crlid.Version) bool {
+	switch {
+	case p.Target == "" || p.Barred:
+		return false
+	case p.Only || last == p.Target:
+		return true
+	case last != "" && p.Pinned:
+		return false
+	default:
+		return float64(hash) < p.Share*math.MaxUint64
+	}
+}
+
+// Allows reports whether a request may run on a version at all.
+func (p Plan) Allows(version crlid.Version) bool {
+	switch {
+	case p.Target == "":
+		return true
+	case version == p.Target:
+		return !p.Barred
+	default:
+		return !p.Only
+	}
+}
+
+// tally counts answers, with a weight that fades so that a change shows.
+type tally struct{ answers, bad float64 }
+
+// memory is the number of answers after which an older one counts half, about ten seconds of one daemon's canary.
+const memory = 40.0
+
+func (t *tally) add(bad bool) {
+	factor := math.Exp2(-1 / memory)
+	t.answers = t.answers*factor + 1
+	t.bad *= factor
+	if bad {
+		t.bad++
+	}
+}
+
+const (
+	minBad    = 3.0  // minBad is the least number of bad answers that can condemn a target.
+	baseRate  = 0.03 // baseRate is the share of bad answers that is taken as usual when the old version shows none.
+	badRise   = 0.25 // badRise is how much more often a bad version fails, as a share of its answers.
+	condemnAt = 4.6  // condemnAt is the log-likelihood ratio of odds of 100 to 1.
+)
+
+// worse tests whether the target fails more often than the old version by badRise, by the likelihood of its answers.
+func (t tally) worse(old tally) bool {
+	if t.bad < minBad*math.Exp2(-minBad/memory) {
+		return false
+	}
+	usual := (old.bad + baseRate) / (old.answers + 1)
+	usual = min(max(usual, baseRate), 0.7)
+	worse := min(usual+badRise, 0.95)
+	ratio := t.bad*math.Log(worse/usual) + (t.answers-t.bad)*math.Log((1-worse)/(1-usual))
+	return ratio > condemnAt
+}
--- /dev/null
+++ b/crlrouter/beliefs.go
@@ -0,0 +1,130 @@
+package crlrouter
+
+import (
+	"log/slog"
+	"sync/atomic"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlforward"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlrollout"
+	"github.com/cranberrylock/cranberrylock/crlroute"
+)
+
+// Order is one record of the operators; at most one of Table, Rollout and Evacuated is set.
+type Order struct {
+	Offset    crlid.Offset
+	Withdrawn bool // Withdrawn is set when the record drops its key.
+	Table     *crlroute.Table
+	Rollout   *crlrollout.Order
+	Evacuated crlid.Domain
+}
+
+// Codec decodes the records of a platform's store.
+type Codec interface {
+	DecodeOrder(record crlplatform.KeyedRecord) (Order, error)
+	DecodeServer(record crlplatform.KeyedRecord) (crlfleet.Entry, error)
+	DecodeStatus(record crlplatform.KeyedRecord) (status crlrollout.Status, ok bool)
+	EncodeStatus(status crlrollout.Status) (crlplatform.KeyedRecord, error)
+}
+
+// Events that are logged when beliefs change.
+const (
+	EventConfiguration crllog.Event = "configuration"
+	EventOrder         crllog.Event = "order"
+	EventBadRecord     crllog.Event = "bad-record"
+	EventStatus        crllog.Event = "rollout-status"
+)
+
+// orders keeps what operators ordered.
+type orders struct {
+	codec     Codec
+	fleet     *crlfleet.Fleet
+	rollouts  *crlrollout.Book
+	now       crlclock.Clock
+	lines     *crllog.Logger
+	table     atomic.Pointer[crlroute.Table]
+	proved    atomic.Int64 // proved is a crlclock.Instant.
+	newest    crlid.Offset // newest is the offset of the configuration in force.
+	evacuated map[crlid.Domain]bool
+	found     bool // found is set once the orders of before this daemon's start are known.
+}
+
+// state returns the configuration in force for traffic.
+func (o *orders) state() crlforward.State {
+	return crlforward.State{Table: o.table.Load(), Proved: crlclock.Instant(o.proved.Load())}
+}
+
+func (o *orders) prove(at crlclock.Instant) {
+	if int64(at) > o.proved.Load() {
+		o.proved.Store(int64(at))
+	}
+}
+
+// replace takes the newest order of every key; evacuations that are not among them have ended.
+func (o *orders) replace(records []crlplatform.KeyedRecord) {
+	before := o.evacuated
+	o.evacuated = make(map[crlid.Domain]bool)
+	o.change(records)
+	for domain := range before {
+		if !o.evacuated[domain] {
+			o.evacuate(Order{Evacuated: domain, Withdrawn: true})
+		}
+	}
+	o.found = true
+}
+
+func (o *orders) change(records []crlplatform.KeyedRecord) {
+	for _, r := range records {
+		order, err := o.codec.DecodeOrder(r)
+		if err != nil {
+			o.lines.Event(EventBadRecord, slog.String("key", r.Key), slog.Int64("offset", int64(r.Offset)), slog.String("cause", err.Error()))
+			continue
+		}
+		switch {
+		case order.Table != nil:
+			o.configure(order)
+		case order.Rollout != nil:
+			o.rollout(order)
+		case order.Evacuated != "":
+			o.evacuate(order)
+		}
+	}
+}
+
+// configure puts a configuration in force unless a later one is already.
+func (o *orders) configure(order Order) {
+	current := o.table.Load()
+	if current != nil && (order.Offset <= o.newest || order.Table.Version() <= current.Version()) {
+		return
+	}
+	o.newest = order.Offset
+	o.table.Store(order.Table)
+	o.lines.Event(EventConfiguration, slog.Int64("configuration", order.Table.Version()),
+		slog.Int64("offset", int64(order.Offset)), slog.Int("routes", order.Table.Routes()))
+}
+
+func (o *orders) rollout(order Order) {
+	r := *order.Rollout
+	if order.Withdrawn {
+		o.rollouts.Withdraw(r.Service)
+	} else {
+		o.rollouts.Order(r, !o.found, o.now())
+	}
+	o.lines.Event(EventOrder, slog.String("order", "rollout"), slog.String("service", string(r.Service)),
+		slog.String("target", string(r.Target)), slog.Bool("withdrawn", order.Withdrawn), slog.Int64("offset", int64(order.Offset)))
+}
+
+func (o *orders) evacuate(order Order) {
+	o.fleet.Evacuate(order.Evacuated, !order.Withdrawn)
+	if order.Withdrawn {
+		delete(o.evacuated, order.Evacuated)
+	} else {
+		o.evacuated[order.Evacuated] = true
+	}
+	o.lines.Event(EventOrder, slog.String("order", "evacuate"), slog.String("failure-domain", string(order.Evacuated)),
+		slog.Bool("withdrawn", order.Withdrawn), slog.Int64("offset", int64(order.Offset)))
+}
--- /dev/null
+++ b/crlrouter/rollouts.go
@@ -0,0 +1,81 @@
+package crlrouter
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlrollout"
+)
+
+// statusPeriod is how often a daemon looks whether a state is due.
+const statusPeriod = 200 * time.Millisecond
+
+// reporter writes the states of roll-outs that are due.
+type reporter struct {
+	codec    Codec
+	log      KeyedLog
+	topic    string
+	rollouts *crlrollout.Book
+	fleet    *crlfleet.Fleet
+	now      crlclock.Clock
+	lines    *crllog.Logger
+	end      atomic.Int64 // end is the offset up to which the states are known; a write is refused when there are more.
+}
+
+// take takes states that daemons wrote.
+func (p *reporter) take(records []crlplatform.KeyedRecord) {
+	for _, r := range records {
+		status, ok := p.codec.DecodeStatus(r)
+		if ok && p.rollouts.Status(status) {
+			p.lines.Event(EventStatus, slog.String("service", string(status.Service)), slog.String("target", string(status.Target)),
+				slog.String("state", status.State.String()), slog.Int64("offset", int64(r.Offset)), slog.String("outcome", "learned"))
+		}
+		p.end.Store(max(p.end.Load(), int64(r.Offset)+1))
+	}
+}
+
+// run writes due states until ctx ends.
+func (p *reporter) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, statusPeriod/2+rand.N(statusPeriod))
+		for _, status := range p.rollouts.Due(p.now(), p.fleet.Capacity) {
+			// Daemons that are due together wait a moment at random, so that mostly one writes.
+			if status.State != crlrollout.StateRolledBack && rand.N(4) > 0 {
+				continue
+			}
+			p.write(ctx, status)
+		}
+	}
+	return ctx.Err()
+}
+
+// write appends a state if no other was written since; a write that lands late is refused by the same condition.
+func (p *reporter) write(ctx context.Context, status crlrollout.Status) {
+	record, err := p.codec.EncodeStatus(status)
+	if err != nil {
+		p.lines.Event(EventBadRecord, slog.String("service", string(status.Service)), slog.String("cause", err.Error()))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	_, err = p.log.AppendAt(ctx, p.topic, record, crlid.Offset(p.end.Load()))
+	outcome, cause := "written", ""
+	var conflict *crlplatform.Conflict
+	switch {
+	case errors.As(err, &conflict):
+		outcome = "another was first"
+	case err != nil:
+		outcome, cause = "unknown", err.Error()
+	}
+	p.lines.Event(EventStatus, slog.String("service", string(status.Service)), slog.String("target", string(status.Target)),
+		slog.String("state", status.State.String()), slog.Int64("at", p.end.Load()), slog.String("outcome", outcome), slog.String("cause", cause))
+}
--- /dev/null
+++ b/crlrouter/router.go
@@ -0,0 +1,321 @@
+package crlrouter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlforward"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlrollout"
+)
+
+// Topics name the topics of the store that the router follows.
+type Topics struct {
+	Orders  string
+	Servers string
+	Status  string
+}
+
+// Config configures a Router.
+type Config struct {
+	Settings *Settings
+	Log      KeyedLog
+	Topics   Topics
+	Codec    Codec
+	Dialect  crlforward.Dialect
+	Lines    *crllog.Logger
+	Clock    crlclock.Clock // Clock counts ages of proofs, also while the machine is suspended.
+	Reload   func() (*Settings, error)
+}
+
+// Router is one daemon of the fleet of routers.
+type Router struct {
+	config   Config
+	orders   *orders
+	servers  *servers
+	reporter *reporter
+	members  *members
+	fleet    *crlfleet.Fleet
+	service  *crlforward.Service
+	registry *prometheus.Registry
+	stop     chan struct{}
+}
+
+const (
+	ordersWait    = time.Second            // ordersWait renews the proof of the configuration several times within its age.
+	statusWait    = 5 * time.Second        // statusWait is long because states are rare and a read ends when one is written.
+	serversPause  = 500 * time.Millisecond // serversPause is a quarter of the time within which a leaving server must get nothing.
+	proofFraction = 0.9                    // proofFraction of the bound on revocations leaves a tenth for coarse clocks.
+	inFlightBytes = 64 << 10               // inFlightBytes is the memory that one request takes with its body and buffers.
+	memoryPart    = 0.6                    // memoryPart of the memory is the runtime's soft limit.
+	gcPercent     = 40                     // gcPercent trades processor time, which is spare, for peak memory.
+)
+
+// New returns a router that has not begun to serve.
+func New(config Config) *Router {
+	s := config.Settings
+	r := &Router{config: config, registry: prometheus.NewRegistry(), stop: make(chan struct{})}
+	r.members = &members{log: config.Log, self: crlid.NewIncarnation(), lines: config.Lines}
+	r.fleet = crlfleet.New(crlfleet.Config{
+		Domain: s.Domain, Share: r.members.share, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
+		Now: config.Clock, Log: logTransition(config.Lines),
+	})
+	rollouts := crlrollout.NewBook()
+	r.orders = &orders{
+		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, lines: config.Lines,
+		newest: crlid.NoOffset, evacuated: make(map[crlid.Domain]bool),
+	}
+	r.servers = &servers{
+		codec: config.Codec, fleet: r.fleet, now: config.Clock, lines: config.Lines,
+		offsets: make(map[string]crlid.Offset), doubtful: make(map[crlid.Server]bool),
+	}
+	r.reporter = &reporter{
+		codec: config.Codec, log: config.Log, topic: config.Topics.Status, rollouts: rollouts, fleet: r.fleet,
+		now: config.Clock, lines: config.Lines,
+	}
+	proofAge := longestProof
+	if s.Bounds.Revocation > 0 {
+		proofAge = time.Duration(proofFraction * float64(s.Bounds.Revocation))
+	}
+	r.service = crlforward.New(crlforward.Config{
+		Dialect: config.Dialect, State: r.orders.state, Fleet: r.fleet, Rollouts: rollouts,
+		Retries: crlbudget.NewRetry(crlbudget.RetryConfig{
+			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Share: r.members.share,
+		}),
+		Transport: crlforward.NewTransport(), Log: config.Lines, Metrics: crlforward.NewMetrics(r.registry),
+		Now: config.Clock, ProofAge: proofAge, Session: s.Bounds.Session,
+		InFlight: max(int(float64(s.MemoryBytes)*memoryPart/2/inFlightBytes), minInFlight),
+	})
+	r.registry.MustRegister(r.gauges()...)
+	return r
+}
+
+const (
+	longestProof = time.Minute // longestProof is for deployments that don't bound revocations.
+	minInFlight  = 64          // minInFlight is for VMs whose memory is not stated.
+)
+
+func (r *Router) gauges() []prometheus.Collector {
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cranberrylock_router_" + name, Help: help}, value)
+	}
+	return []prometheus.Collector{
+		gauge("proof_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
+			return r.config.Clock().Sub(r.orders.state().Proved).Seconds()
+		}),
+		gauge("shared_limits_part", "The daemon's part of limits that all daemons share.", r.members.share),
+		gauge("open_requests", "Requests that are held.", func() float64 { return float64(r.service.Open()) }),
+		gauge("log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(r.config.Lines.Dropped()) }),
+	}
+}
+
+// Events of the router's own life.
+const (
+	EventStart  crllog.Event = "start"
+	EventStop   crllog.Event = "stop"
+	EventReload crllog.Event = "reload"
+)
+
+// Run serves until ctx ends and then drains.
+func (r *Router) Run(ctx context.Context) error {
+	s := r.config.Settings
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+	}
+	r.config.Lines.Event(EventStart, slog.String("daemon", string(s.Daemon)), slog.String("failure-domain", string(s.Domain)),
+		slog.String("incarnation", string(r.members.self)))
+	var group run.Group
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	for _, task := range r.tasks() {
+		group.Add(func() error { return task(work) }, func(error) { cancel() })
+	}
+	if err := r.listen(ctx, work, &group); err != nil {
+		return err
+	}
+	err := group.Run()
+	r.config.Lines.Event(EventStop, slog.String("cause", fmt.Sprint(err)), slog.Int("open-requests", r.service.Open()))
+	if errors.Is(err, errDrained) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// tasks returns the loops that keep the router's knowledge.
+func (r *Router) tasks() []func(context.Context) error {
+	c := r.config
+	status := newWatch(watchConfig{
+		log: c.Log, topic: c.Topics.Status, wait: statusWait, now: c.Clock, lines: c.Lines,
+		whole: r.reporter.take, changed: r.reporter.take, proved: func(crlclock.Instant) {}, lost: func(bool) {},
+	})
+	orders := newWatch(watchConfig{
+		log: c.Log, topic: c.Topics.Orders, wait: ordersWait, now: c.Clock, lines: c.Lines,
+		whole: r.orders.replace, changed: r.orders.change, proved: r.orders.prove, lost: func(bool) {},
+	})
+	servers := newWatch(watchConfig{
+		log: c.Log, topic: c.Topics.Servers, pause: serversPause, now: c.Clock, lines: c.Lines,
+		whole: r.servers.replace, changed: r.servers.change, proved: r.servers.settled, lost: r.servers.setLost,
+	})
+	following := func(ctx context.Context) error {
+		// States of roll-outs are known before the orders that they belong to.
+		for retry := firstRetry; ctx.Err() == nil && !status.begun; retry = min(2*retry, lastRetry) {
+			if err := status.bootstrap(ctx); err != nil {
+				status.noteLost(err)
+				sleep(ctx, retry)
+			}
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			// The watch ends with ctx, which is not an error of its own.
+			_ = status.run(ctx)
+		}()
+		err := orders.run(ctx)
+		<-done
+		return err
+	}
+	return []func(context.Context) error{following, servers.run, r.reporter.run, r.members.run, r.reload}
+}
+
+// listen opens the addresses and adds what serves them to the group.
+func (r *Router) listen(ctx, work context.Context, group *run.Group) error {
+	s := r.config.Settings
+	front, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	readiness, err := net.Listen("tcp", s.Readiness)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for the balancer: %w", err), front.Close())
+	}
+	metrics, err := net.Listen("tcp", s.Metrics)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for metrics on setting %q: %w", s.Metrics, err), front.Close(), readiness.Close())
+	}
+	probe := &http.Server{Handler: r.probes(), ReadHeaderTimeout: probeTimeout}
+	group.Add(func() error { return probe.Serve(readiness) }, func(error) { probe.Close() })
+	group.Add(func() error { return probe.Serve(metrics) }, func(error) { probe.Close() })
+	callers := &http.Server{Handler: r.service}
+	group.Add(func() error { return r.serve(work, callers, front) }, func(error) { callers.Close() })
+	group.Add(func() error { return r.drain(ctx, callers) }, func(error) { close(r.stop) })
+	return nil
+}
+
+const (
+	probeTimeout     = 2 * time.Second        // probeTimeout bounds the head of a question to the probes.
+	firstTableWait   = time.Second            // firstTableWait is how long callers' connections wait for a first configuration.
+	firstTablePeriod = 10 * time.Millisecond  // firstTablePeriod is how often it is looked for.
+	defaultIdle      = time.Minute            // defaultIdle is the idle timeout before a configuration states one.
+	defaultHeader    = 3 * time.Second        // defaultHeader is the time for a request's head before a configuration states one.
+	drainListen      = 3 * time.Second        // drainListen is how long the balancer may still send new connections: two misses.
+	drainMargin      = 400 * time.Millisecond // drainMargin is left of the grace time for the process to end.
+	drainPeriod      = 20 * time.Millisecond
+)
+
+// serve accepts callers, with the limits of the first configuration if it comes soon.
+func (r *Router) serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	for waited := time.Duration(0); r.orders.table.Load() == nil && waited < firstTableWait; waited += firstTablePeriod {
+		sleep(ctx, firstTablePeriod)
+	}
+	server.IdleTimeout, server.ReadHeaderTimeout = defaultIdle, defaultHeader
+	if table := r.orders.table.Load(); table != nil {
+		limits := table.Limits()
+		server.MaxHeaderBytes = limits.HeaderBytes
+		if limits.IdleTimeout > 0 {
+			server.IdleTimeout = limits.IdleTimeout
+		}
+		if limits.HeaderTimeout > 0 {
+			server.ReadHeaderTimeout = limits.HeaderTimeout
+		}
+	}
+	return server.Serve(listener)
+}
+
+// probes answers the balancer and serves metrics.
+func (r *Router) probes() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET("/readyz", func(c echo.Context) error {
+		if !r.ready() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})))
+	return e
+}
+
+// ready reports whether the router can serve: it knows a configuration that is proved, and it does not drain.
+func (r *Router) ready() bool {
+	select {
+	case <-r.stop:
+		return false
+	default:
+	}
+	state := r.orders.state()
+	return state.Table != nil && !r.service.Draining()
+}
+
+var errDrained = errors.New("drained")
+
+// drain waits for the end of ctx, lets the balancer notice and finishes the requests that are held.
+func (r *Router) drain(ctx context.Context, server *http.Server) error {
+	select {
+	case <-ctx.Done():
+	case <-r.stop:
+		return errDrained
+	}
+	began := time.Now()
+	r.service.Drain()
+	grace := r.config.Settings.Bounds.Grace - drainMargin
+	for time.Since(began) < grace && (time.Since(began) < drainListen || r.service.Open() > 0) {
+		time.Sleep(drainPeriod)
+	}
+	remaining, cancel := context.WithTimeout(context.Background(), max(grace-time.Since(began), drainPeriod))
+	defer cancel()
+	if err := server.Shutdown(remaining); err != nil {
+		return fmt.Errorf("%w with requests cut: %w", errDrained, err)
+	}
+	return errDrained
+}
+
+// reload reads the settings again on a hangup.
+func (r *Router) reload(ctx context.Context) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hangup:
+		}
+		settings, err := r.config.Reload()
+		if err != nil {
+			r.config.Lines.Event(EventReload, slog.String("outcome", "kept the settings in force"), slog.String("cause", err.Error()))
+			continue
+		}
+		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
+		r.config.Lines.Event(EventReload, slog.String("outcome", "read"), slog.String("signal", syscall.SIGHUP.String()))
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/crlrouter/watch.go
@@ -0,0 +1,174 @@
+package crlrouter
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+)
+
+// KeyedLog is the part of the platform's store that the router uses.
+type KeyedLog interface {
+	Newest(ctx context.Context, topic, after string) (page crlplatform.KeyedPage, more bool, err error)
+	Read(ctx context.Context, topic string, read crlplatform.KeyedRead) (crlplatform.KeyedPage, error)
+	AppendAt(ctx context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Offset) (end crlid.Offset, err error)
+	Join(ctx context.Context, group string, member crlid.Incarnation, ttl time.Duration, generation int64) (crlplatform.Membership, error)
+}
+
+// Events that a watch logs.
+const (
+	EventStoreLost     crllog.Event = "store-lost"
+	EventStoreRegained crllog.Event = "store-regained"
+	EventHistoryLost   crllog.Event = "history-lost"
+)
+
+const (
+	callSlack  = 1200 * time.Millisecond // callSlack is added to a read's wait; a slow store answers within 600 ms.
+	firstRetry = 150 * time.Millisecond  // firstRetry is the pause after a failed read; it doubles up to lastRetry.
+	lastRetry  = 600 * time.Millisecond  // lastRetry keeps several tries within the time that a proof lasts.
+)
+
+// watchConfig configures a watch.
+type watchConfig struct {
+	log   KeyedLog
+	topic string
+	wait  time.Duration // wait is how long the store holds a read when there is nothing new.
+	pause time.Duration // pause is the least time between two reads, for topics that change all the time.
+	now   crlclock.Clock
+	lines *crllog.Logger
+	// whole takes the newest record of every key, in place of all that was known.
+	whole func(records []crlplatform.KeyedRecord)
+	// changed takes records in the order of the topic.
+	changed func(records []crlplatform.KeyedRecord)
+	// proved takes a moment at which what is known was the newest there is.
+	proved func(at crlclock.Instant)
+	// lost takes whether the topic can't be read.
+	lost func(lost bool)
+}
+
+// watch follows one topic of the store.
+type watch struct {
+	config watchConfig
+	next   crlid.Offset // next is the offset from which records are not known yet.
+	begun  bool
+	failed crlclock.Instant // failed is when the topic could last be read, 0 while it can be.
+}
+
+func newWatch(config watchConfig) *watch { return &watch{config: config} }
+
+// run follows the topic until ctx ends.
+func (w *watch) run(ctx context.Context) error {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := w.step(ctx)
+		if err != nil {
+			w.noteLost(err)
+			sleep(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, lastRetry)
+			continue
+		}
+		w.noteRegained()
+		retry = firstRetry
+		sleep(ctx, w.config.pause-time.Since(began))
+	}
+	return ctx.Err()
+}
+
+// step reads what is new, or everything at first and after the history was dropped.
+func (w *watch) step(ctx context.Context) error {
+	if !w.begun {
+		return w.bootstrap(ctx)
+	}
+	sent := w.config.now()
+	ctx, cancel := context.WithTimeout(ctx, w.config.wait+callSlack)
+	defer cancel()
+	page, err := w.config.log.Read(ctx, w.config.topic, crlplatform.KeyedRead{From: w.next, Wait: w.config.wait})
+	var refused *crlplatform.Error
+	if errors.As(err, &refused) && refused.Trimmed {
+		w.config.lines.Event(EventHistoryLost, slog.String("topic", w.config.topic), slog.Int64("next", int64(w.next)))
+		w.begun = false
+		return w.bootstrap(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if len(page.Records) > 0 {
+		w.config.changed(page.Records)
+		w.next = page.Records[len(page.Records)-1].Offset + 1
+	}
+	if w.next < page.End {
+		return nil // More records follow, so that nothing is proved yet.
+	}
+	// A read that the store held to its end shows that nothing changed while it was held.
+	if elapsed := w.config.now().Sub(sent); len(page.Records) == 0 && elapsed >= w.config.wait {
+		sent = sent.Add(w.config.wait)
+	}
+	w.config.proved(sent)
+	return nil
+}
+
+// bootstrap reads the newest record of every key.
+func (w *watch) bootstrap(ctx context.Context) error {
+	sent := w.config.now()
+	ctx, cancel := context.WithTimeout(ctx, 2*callSlack)
+	defer cancel()
+	var records []crlplatform.KeyedRecord
+	after, end := "", crlid.NoOffset
+	for {
+		page, more, err := w.config.log.Newest(ctx, w.config.topic, after)
+		if err != nil {
+			return err
+		}
+		records = append(records, page.Records...)
+		if end == crlid.NoOffset {
+			end = page.End // Later pages may hold what the first one misses; reads from its end bring that again.
+		}
+		if !more || len(page.Records) == 0 {
+			break
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+	w.config.whole(records)
+	w.next, w.begun = end, true
+	w.config.proved(sent)
+	return nil
+}
+
+func (w *watch) noteLost(err error) {
+	if w.failed != 0 {
+		return
+	}
+	w.failed = w.config.now()
+	w.config.lost(true)
+	w.config.lines.Event(EventStoreLost,
+		slog.String("topic", w.config.topic), slog.String("cause", err.Error()), slog.Int64("next", int64(w.next)))
+}
+
+func (w *watch) noteRegained() {
+	if w.failed == 0 {
+		return
+	}
+	w.config.lines.Event(EventStoreRegained, slog.String("topic", w.config.topic),
+		slog.Duration("lost-ms", w.config.now().Sub(w.failed)), slog.Int64("next", int64(w.next)))
+	w.failed = 0
+	w.config.lost(false)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
