Drain without cutting: idle connections close, late work goes elsewhere

Ruled out: the grace time, streams ended within it. Change: the accept task waits for the drain; keep-alives end with SIGTERM; 3 s later new work is refused as not run.

--- a/crlforward/carry.go
+++ b/crlforward/carry.go
@@ -92,11 +92,11 @@
 // pick chooses the server of the next send.
 func (s *Service) pick(x *exchange, plan *modelPlan) (*crlfleet.Pick, error) {
 	x.plan = s.config.Rollouts.Plan(x.service.Name, s.config.Now(), s.config.Fleet.Capacity)
-	key := sessionKey{service: x.service.Name, session: x.session()}
+	key := x.session()
 	if x.sends == 0 {
 		x.last = s.sessions.version(key)
 	}
-	target := x.plan.Prefers(xxhash.Sum64String(key.session), x.last)
+	target := x.plan.Prefers(xxhash.Sum64String(string(key.session)), x.last)
 	pinned := x.plan.Pinned && x.last != ""
 	cost := plan.cost(x)
 	return s.config.Fleet.Pick(crlfleet.Need{
--- a/crlforward/head.go
+++ b/crlforward/head.go
@@ -20,11 +20,12 @@
 	After    int64         // After is the last event of a stream that the caller holds.
 	Resumes  bool          // Resumes is set when After was given.
 	Model    crlid.Model
-	Prompt   crlid.Tokens // Prompt is the length of the prompt.
-	Output   crlid.Tokens // Output is the longest answer asked for.
-	Expected crlid.Tokens // Expected is the caller's estimate of the answer's length, 0 when it gives none.
-	Parts    []Part       // Parts are the prompt's parts in order; the last belongs to the request or its session.
-	Key      string       // Key is the caller's key, empty when there is none.
+	Prompt   crlid.Tokens  // Prompt is the length of the prompt.
+	Output   crlid.Tokens  // Output is the longest answer asked for.
+	Expected crlid.Tokens  // Expected is the caller's estimate of the answer's length, 0 when it gives none.
+	Parts    []Part        // Parts are the prompt's parts in order; the last belongs to the request or its session.
+	Session  crlid.Session // Session is empty for requests that belong to none.
+	Key      string        // Key is the caller's key, empty when there is none.
 }
 
 // Attempt is what the system tells a backend server of a request.
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -88,7 +88,7 @@
 		return verdictAgain
 	}
 	x.mayRun = true
-	s.sessions.note(sessionKey{service: x.service.Name, session: x.session()}, pick.Version)
+	s.sessions.note(x.session(), pick.Version)
 	if head.Request != x.head.Request {
 		result.Outcome = crlfleet.OutcomeFailed
 		return s.repeat(x)
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -48,6 +48,7 @@
 	sessions *sessions
 	open     atomic.Int64
 	draining atomic.Bool
+	closed   atomic.Bool
 }
 
 // New returns a service.
@@ -58,6 +59,9 @@
 // Drain makes every further answer close its connection.
 func (s *Service) Drain() { s.draining.Store(true) }
 
+// Close refuses every further request, for those that would not end before the process does.
+func (s *Service) Close() { s.closed.Store(true) }
+
 // Draining reports whether Drain was called.
 func (s *Service) Draining() bool { return s.draining.Load() }
 
@@ -68,6 +72,7 @@
 const (
 	notReadyRetryAfter = 500 * time.Millisecond // notReadyRetryAfter is half of what a daemon needs to read a configuration.
 	proofRetryAfter    = time.Second            // proofRetryAfter gives the store's client one more try.
+	drainingRetryAfter = 50 * time.Millisecond  // drainingRetryAfter is short because other daemons take the request at once.
 	overloadRetryAfter = time.Second            // overloadRetryAfter is about the time in which a batch of short streams ends.
 )
 
@@ -102,6 +107,10 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.closed.Load() {
+		s.refuse(x, unavailable(ReasonDraining, drainingRetryAfter))
+		return
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	refusal := s.admit(ctx, x)
@@ -233,12 +242,13 @@
 	return nil
 }
 
-// session returns the name of the request's session, the request itself when it has none.
-func (x *exchange) session() string {
-	if n := len(x.head.Parts); n > 0 {
-		return x.head.Parts[n-1].ID
+// session returns the key of the request's session; a request without one is a session of its own.
+func (x *exchange) session() sessionKey {
+	name := x.head.Session
+	if name == "" {
+		name = crlid.Session(x.head.Request)
 	}
-	return string(x.head.Request)
+	return sessionKey{service: x.service.Name, session: name}
 }
 
 // refuse writes an answer of the system's own.
@@ -251,6 +261,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	status := refusal.Status
+	if x.head.Request == "" {
+		// The request was refused before its head was read, which is of use in the log only.
+		x.head, _ = s.config.Dialect.DecodeRequest(x.request.Header)
+	}
 	if x.failure != nil && refusal.Status >= http.StatusInternalServerError && refusal.Reason != ReasonRouteTimeout {
 		x.trace.outcome = "server-failure"
 		x.failure.write(x.writer)
--- a/crlforward/session.go
+++ b/crlforward/session.go
@@ -19,7 +19,7 @@
 
 type sessionKey struct {
 	service crlid.Service
-	session string
+	session crlid.Session
 }
 
 type sessionState struct {
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -132,6 +132,7 @@
 	EventStart  crllog.Event = "start"
 	EventStop   crllog.Event = "stop"
 	EventReload crllog.Event = "reload"
+	EventDrain  crllog.Event = "drain"
 )
 
 // Run serves until ctx ends and then drains.
@@ -247,7 +248,11 @@
 			server.ReadHeaderTimeout = limits.HeaderTimeout
 		}
 	}
-	return server.Serve(listener)
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	<-ctx.Done() // Requests that are held go on until the drain ends.
+	return ctx.Err()
 }
 
 // probes answers the balancer and serves metrics.
@@ -286,8 +291,15 @@
 	}
 	began := time.Now()
 	r.service.Drain()
+	r.config.Lines.Event(EventDrain, slog.Int("open-requests", r.service.Open()))
+	// Idle connections close, so that their callers come back over the balancer.
+	server.SetKeepAlivesEnabled(false)
 	grace := r.config.Settings.Bounds.Grace - drainMargin
-	for time.Since(began) < grace && (time.Since(began) < drainListen || r.service.Open() > 0) {
+	for time.Since(began) < drainListen {
+		time.Sleep(drainPeriod)
+	}
+	r.service.Close()
+	for time.Since(began) < grace && r.service.Open() > 0 {
 		time.Sleep(drainPeriod)
 	}
 	remaining, cancel := context.WithTimeout(context.Background(), max(grace-time.Since(began), drainPeriod))
