--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -74,12 +74,12 @@
 	}), x, pick, plan)
 	response, err := s.config.Transport.RoundTrip(request)
 	if err != nil {
-		return s.unanswered(ctx, x, pick, &result, err, connected.Load())
+		return s.unanswered(ctx, x, pick, plan, &result, err, connected.Load())
 	}
 	defer response.Body.Close()
 	head := s.config.Dialect.DecodeAnswer(response.StatusCode, response.Header)
 	result.FirstByte = time.Since(began)
-	x.noteSend(pick, response.StatusCode, result.FirstByte, "")
+	x.noteSend(pick, plan.model(), response.StatusCode, result.FirstByte, "")
 	if head.NotRun {
 		result.Outcome, result.FirstByte = crlfleet.OutcomeFull, 0
 		if response.StatusCode == http.StatusMisdirectedRequest {
@@ -136,8 +136,8 @@
 }
 
 // unanswered judges a send that got no head of an answer.
-func (s *Service) unanswered(ctx context.Context, x *exchange, pick *crlfleet.Pick, result *crlfleet.Result, err error, connected bool) verdict {
-	x.noteSend(pick, 0, 0, err.Error())
+func (s *Service) unanswered(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan, result *crlfleet.Result, err error, connected bool) verdict {
+	x.noteSend(pick, plan.model(), 0, 0, err.Error())
 	if !connected {
 		if ctx.Err() == nil {
 			result.Outcome = crlfleet.OutcomeUnreachable
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
 )
 
@@ -18,6 +19,7 @@
 type sendTrace struct {
 	Server  string  `json:"server"`
 	Version string  `json:"version"`
+	Model   string  `json:"model,omitempty"`
 	Status  int     `json:"status"`
 	FirstMS float64 `json:"first-ms"`
 	Cause   string  `json:"cause,omitempty"`
@@ -33,9 +35,9 @@
 	sends      []sendTrace
 }
 
-func (x *exchange) noteSend(pick *crlfleet.Pick, status int, first time.Duration, cause string) {
+func (x *exchange) noteSend(pick *crlfleet.Pick, model crlid.Model, status int, first time.Duration, cause string) {
 	x.trace.sends = append(x.trace.sends, sendTrace{
-		Server: string(pick.Server), Version: string(pick.Version), Status: status,
+		Server: string(pick.Server), Version: string(pick.Version), Model: string(model), Status: status,
 		FirstMS: float64(first.Microseconds()) / 1000, Cause: cause,
 	})
 }
@@ -55,6 +57,9 @@
 	if len(x.trace.sends) > 0 {
 		attributes = append(attributes, slog.Any("sends", x.trace.sends))
 	}
+	if x.head.Prompt > 0 {
+		attributes = append(attributes, slog.Int64("prompt-tokens", int64(x.head.Prompt)), slog.Int("confidence", x.trace.confidence))
+	}
 	if x.stream.last > 0 {
 		attributes = append(attributes, slog.Int64("last-event", x.stream.last))
 	}
