--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -193,3 +193,10 @@
 	s.health.rest(now)
 	f.config.Log(Transition{Server: s.entry.Server, Entry: s.entry, Belief: BeliefSuspect, Cause: cause})
 }
+
+// Slowness returns how much later than on unloaded servers a service's answers begin now, at least 1.
+func (f *Fleet) Slowness(service crlid.Service) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.pace[service].mean(1), 1)
+}
--- a/crlforward/carry.go
+++ b/crlforward/carry.go
@@ -20,7 +20,7 @@
 func (s *Service) carry(ctx context.Context, x *exchange) *Refusal {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	plan := s.newModelPlan(x)
+	plan := newModelPlan(x)
 	for {
 		if ctx.Err() != nil {
 			return x.ended(causeOf(ctx, x))
@@ -98,7 +98,7 @@
 	}
 	target := x.plan.Prefers(xxhash.Sum64String(string(key.session)), x.last)
 	pinned := x.plan.Pinned && x.last != ""
-	cost := plan.cost(x)
+	cost := x.estimate(s.paces.of(plan.model(), plan.models))
 	return s.config.Fleet.Pick(crlfleet.Need{
 		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, Work: cost.work, Expected: cost.firstByte,
 		Allows: func(v crlid.Version) bool {
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -99,7 +99,8 @@
 	} else {
 		v, result.Outcome = s.collect(ctx, x, response, head)
 	}
-	s.observe(x, pick, result, plan)
+	s.paces.learn(plan.model(), x.head.Prompt, result.FirstByte)
+	s.observe(x, pick, result)
 	return v
 }
 
@@ -149,7 +150,7 @@
 		return verdictFinal
 	}
 	result.Outcome = crlfleet.OutcomeFailed
-	s.observe(x, pick, *result, nil)
+	s.observe(x, pick, *result)
 	return s.repeat(x)
 }
 
@@ -206,7 +207,7 @@
 const slowFactor = 5
 
 // observe gives what a send showed to the roll-outs of the service.
-func (s *Service) observe(x *exchange, pick *crlfleet.Pick, result crlfleet.Result, _ *modelPlan) {
+func (s *Service) observe(x *exchange, pick *crlfleet.Pick, result crlfleet.Result) {
 	if x.plan.Target == "" || result.Outcome == crlfleet.OutcomeNeutral {
 		return
 	}
@@ -218,7 +219,14 @@
 
 // escalates decides whether an answer is dropped for a larger model's.
 func (s *Service) escalates(x *exchange, head AnswerHead, plan *modelPlan) bool {
-	return plan.mayEscalate() && !x.stream.begun && x.sends < x.route.Attempts && x.route.Repeatable() &&
-		head.Confidence != NoConfidence && head.Confidence < escalateBelow &&
-		s.config.Retries.Spend(x.service.Name, crlbudget.MarginCascade, s.config.Now())
+	if !plan.mayEscalate() || x.stream.begun || x.sends >= x.route.Attempts || !x.route.Repeatable() ||
+		head.Confidence == NoConfidence || head.Confidence >= escalateBelow {
+		return false
+	}
+	pace := s.paces.of(plan.largest(), plan.models)
+	first := time.Duration(float64(x.estimate(pace).firstByte) * s.config.Fleet.Slowness(x.service.Name))
+	if x.route.Objective > 0 && time.Since(x.arrived)+first > time.Duration(objectivePart*float64(x.route.Objective)) {
+		return false
+	}
+	return s.config.Retries.Spend(x.service.Name, crlbudget.MarginCascade, s.config.Now())
 }
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -46,6 +46,7 @@
 type Service struct {
 	config   Config
 	sessions *sessions
+	paces    *paces
 	open     atomic.Int64
 	draining atomic.Bool
 	closed   atomic.Bool
@@ -53,7 +54,7 @@
 
 // New returns a service.
 func New(config Config) *Service {
-	return &Service{config: config, sessions: newSessions(config.Session)}
+	return &Service{config: config, sessions: newSessions(config.Session), paces: newPaces()}
 }
 
 // Drain makes every further answer close its connection.
