--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -76,6 +76,7 @@
 	services  map[crlid.Service][]*server
 	evacuated map[crlid.Domain]bool
 	pace      map[crlid.Service]*average // pace is the usual latency of a service's answers against what was expected.
+	waits     map[crlid.Service]*average // waits is the usual latency beyond what was expected, in seconds.
 }
 
 // New returns a fleet without servers.
@@ -88,7 +89,7 @@
 	}
 	return &Fleet{
 		config: config, servers: make(map[crlid.Server]*server), services: make(map[crlid.Service][]*server),
-		evacuated: make(map[crlid.Domain]bool), pace: make(map[crlid.Service]*average),
+		evacuated: make(map[crlid.Domain]bool), pace: make(map[crlid.Service]*average), waits: make(map[crlid.Service]*average),
 	}
 }
 
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -172,6 +172,10 @@
 			f.pace[p.server.entry.Service] = &average{}
 		}
 		f.pace[p.server.entry.Service].add(factor)
+		if f.waits[p.server.entry.Service] == nil {
+			f.waits[p.server.entry.Service] = &average{}
+		}
+		f.waits[p.server.entry.Service].add(max(r.FirstByte-p.Expected, 0).Seconds())
 	}
 }
 
@@ -194,9 +198,9 @@
 	f.config.Log(Transition{Server: s.entry.Server, Entry: s.entry, Belief: BeliefSuspect, Cause: cause})
 }
 
-// Slowness returns how much later than on unloaded servers a service's answers begin now, at least 1.
-func (f *Fleet) Slowness(service crlid.Service) float64 {
+// Wait returns how much later than on unloaded servers a service's answers begin now.
+func (f *Fleet) Wait(service crlid.Service) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(f.pace[service].mean(1), 1)
+	return time.Duration(f.waits[service].mean(0) * float64(time.Second))
 }
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -224,7 +224,7 @@
 		return false
 	}
 	pace := s.paces.of(plan.largest(), plan.models)
-	first := time.Duration(float64(x.estimate(pace).firstByte) * s.config.Fleet.Slowness(x.service.Name))
+	first := x.estimate(pace).firstByte + s.config.Fleet.Wait(x.service.Name)
 	if x.route.Objective > 0 && time.Since(x.arrived)+first > time.Duration(objectivePart*float64(x.route.Objective)) {
 		return false
 	}
