Pick servers by when an answer would begin there

Cause: open work counted a long answer as if it were all still to be read. Change: work before the first event and after it are apart, waits that a server showed lately fade within a second.

--- a/crlfleet/health.go
+++ b/crlfleet/health.go
@@ -1,6 +1,7 @@
 package crlfleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -40,6 +41,8 @@
 	answers    float64
 	rests      int
 	restsUntil crlclock.Instant
+	wait       float64 // wait is the newest wait beyond what was expected, in seconds, smoothed.
+	waitedAt   crlclock.Instant
 	latency    average // latency is the time to the first byte over what was expected.
 }
 
@@ -65,3 +68,15 @@
 	h.inRow, h.failures, h.answers = 0, 0, 0
 	return length
 }
+
+// waited takes a wait beyond what was expected.
+func (h *health) waited(wait time.Duration, now crlclock.Instant) {
+	const weight = 0.5 // weight of the newest wait, since a queue changes within a second.
+	h.wait = h.recentWait(now)*(1-weight) + wait.Seconds()*weight
+	h.waitedAt = now
+}
+
+// recentWait returns the waits seen lately, less the longer ago they were.
+func (h *health) recentWait(now crlclock.Instant) float64 {
+	return h.wait * math.Exp(-now.Sub(h.waitedAt).Seconds()/waitMemory)
+}
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -20,7 +20,8 @@
 	Service  crlid.Service
 	Allows   func(crlid.Version) bool // Allows tells on which versions the request may run.
 	Prefers  func(crlid.Version) bool // Prefers tells on which of those it should run.
-	Work     float64                  // Work is the request's cost in seconds of an unloaded server.
+	Work     float64                  // Work is what the request costs a server until its answer begins, in seconds.
+	Rest     float64                  // Rest is what it costs the server's other requests afterwards, in seconds.
 	Expected time.Duration            // Expected is the usual time to the first byte on an unloaded server.
 	ColdRate float64                  // ColdRate is the requests per second that a cold server of the service bears, 0 for no limit.
 	Exclude  map[crlid.Server]bool    // Exclude holds servers that this request was sent to before.
@@ -35,11 +36,15 @@
 	Expected time.Duration
 	fleet    *Fleet
 	server   *server
-	work     float64
+	work     float64 // work is what is still to be done before the answer begins.
+	rest     float64
 }
 
-// crossDomain is the extra cost of a server in another failure domain, in requests.
-const crossDomain = 0.25
+const (
+	crossDomain = 0.004 // crossDomain is the extra cost of a server in another failure domain: a round trip, in seconds.
+	spread      = 0.01  // spread is the random part of a score in seconds, so that daemons with equal views differ.
+	waitMemory  = 0.7   // waitMemory is the time in seconds after which a wait that was seen counts by a factor of e less.
+)
 
 // Pick returns the server with the least open work for its pace, or ErrNoServer or ErrCold.
 func (f *Fleet) Pick(need Need) (*Pick, error) {
@@ -50,10 +55,10 @@
 		for _, rested := range []bool{true, false} {
 			if s := f.best(need, preferred, rested, now); s != nil {
 				s.open++
-				s.work += need.Work
+				s.work += need.Work + need.Rest
 				return &Pick{
 					Server: s.entry.Server, Address: s.entry.Address, Domain: s.entry.Domain, Version: s.entry.Version,
-					Expected: need.Expected, fleet: f, server: s, work: need.Work,
+					Expected: need.Expected, fleet: f, server: s, work: need.Work, rest: need.Rest,
 				}, nil
 			}
 		}
@@ -88,17 +93,18 @@
 	}
 }
 
+// score estimates when an answer of the server would begin, in seconds.
 func (f *Fleet) score(s *server, need Need, now crlclock.Instant) float64 {
 	usual := f.pace[need.Service].mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
-	score := (s.work + need.Work) * slowness
+	score := (s.work+need.Work)*slowness + s.health.recentWait(now)
 	if s.coldUntil > now {
 		score += need.Work
 	}
 	if s.entry.Domain != f.config.Domain {
-		score += crossDomain * need.Work
+		score += crossDomain
 	}
-	return score + f.config.Random()*crossDomain*need.Work/2
+	return score + f.config.Random()*spread
 }
 
 // takeCold takes a token of a cold server; others need none.
@@ -135,6 +141,17 @@
 	FirstByte time.Duration // FirstByte is the time to the first byte of the answer, 0 if there was none.
 }
 
+// Began takes that the answer has begun, after a time.
+func (p *Pick) Began(first time.Duration) {
+	f := p.fleet
+	now := f.config.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.server.work -= p.work
+	p.work = 0
+	p.server.health.waited(max(first-p.Expected, 0), now)
+}
+
 // Done gives the server back with what the send showed.
 func (p *Pick) Done(r Result) {
 	f := p.fleet
@@ -142,7 +159,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.server.open--
-	p.server.work -= p.work
+	p.server.work -= p.work + p.rest
 	if p.server.open == 0 {
 		p.server.work = 0
 	}
--- a/crlforward/carry.go
+++ b/crlforward/carry.go
@@ -100,7 +100,7 @@
 	pinned := x.plan.Pinned && x.last != ""
 	cost := x.estimate(s.paces.of(plan.model(), plan.models))
 	return s.config.Fleet.Pick(crlfleet.Need{
-		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, Work: cost.work, Expected: cost.firstByte,
+		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, Work: cost.work, Rest: cost.rest, Expected: cost.firstByte,
 		Allows: func(v crlid.Version) bool {
 			return x.plan.Allows(v) && (!pinned || v == x.last || v != x.plan.Target)
 		},
--- a/crlforward/model.go
+++ b/crlforward/model.go
@@ -54,7 +54,8 @@
 
 // cost is what a send is expected to take on an unloaded server.
 type cost struct {
-	work      float64 // work is in seconds of the server.
+	work      float64 // work is the server's time until the answer begins, in seconds.
+	rest      float64 // rest is what the answer's tokens cost the server's other requests, in seconds.
 	firstByte time.Duration
 }
 
@@ -69,7 +70,7 @@
 	}
 	read := pace * float64(x.head.Prompt) / prefillRate
 	return cost{
-		work:      read + pace*float64(output)*batchSeconds,
+		work: read, rest: pace * float64(output) * batchSeconds,
 		firstByte: streamFirst + time.Duration(read*float64(time.Second)),
 	}
 }
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -88,6 +88,7 @@
 		return verdictAgain
 	}
 	x.mayRun = true
+	pick.Began(result.FirstByte)
 	s.sessions.note(x.session(), pick.Version)
 	if head.Request != x.head.Request {
 		result.Outcome = crlfleet.OutcomeFailed
