Send requests that share a prompt's parts to the server that holds them

Change: the next to last part names a holder by rendezvous hash, the same at all daemons; a server's score is less by the reading saved.

--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -2,8 +2,12 @@
 
 import (
 	"errors"
+	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -22,9 +26,16 @@
 	Prefers  func(crlid.Version) bool // Prefers tells on which of those it should run.
 	Work     float64                  // Work is what the request costs a server until its answer begins, in seconds.
 	Rest     float64                  // Rest is what it costs the server's other requests afterwards, in seconds.
-	Expected time.Duration            // Expected is the usual time to the first byte on an unloaded server.
-	ColdRate float64                  // ColdRate is the requests per second that a cold server of the service bears, 0 for no limit.
-	Exclude  map[crlid.Server]bool    // Exclude holds servers that this request was sent to before.
+	Affinity Affinity
+	Expected time.Duration         // Expected is the usual time to the first byte on an unloaded server.
+	ColdRate float64               // ColdRate is the requests per second that a cold server of the service bears, 0 for no limit.
+	Exclude  map[crlid.Server]bool // Exclude holds servers that this request was sent to before.
+}
+
+// Affinity is what a request gains from a server that holds parts of its prompt.
+type Affinity struct {
+	Key   string  // Key names the part that requests share; all daemons send them to the same server. Empty for none.
+	Gains float64 // Gains is the reading that such a server saves, in seconds.
 }
 
 // Pick is a server that a request may be sent to; Done must be called once.
@@ -73,24 +84,47 @@
 
 // best returns the candidate with the lowest score that has a token left if it is cold, or nil.
 func (f *Fleet) best(need Need, preferred, rested bool, now crlclock.Instant) *server {
-	tried := make(map[*server]bool)
-	for {
-		var best *server
-		var lowest float64
-		for _, s := range f.services[need.Service] {
-			if tried[s] || !f.inService(s) || need.Exclude[s.entry.Server] || !need.Allows(s.entry.Version) ||
-				preferred && !need.Prefers(s.entry.Version) || rested && s.health.restsUntil > now {
-				continue
+	var candidates []*server
+	for _, s := range f.services[need.Service] {
+		if !f.inService(s) || need.Exclude[s.entry.Server] || !need.Allows(s.entry.Version) ||
+			preferred && !need.Prefers(s.entry.Version) || rested && s.health.restsUntil > now {
+			continue
+		}
+		candidates = append(candidates, s)
+	}
+	holder := need.Affinity.holder(candidates)
+	for len(candidates) > 0 {
+		best, lowest := 0, math.Inf(1)
+		for i, s := range candidates {
+			score := f.score(s, need, now)
+			if s == holder {
+				score -= need.Affinity.Gains
 			}
-			if score := f.score(s, need, now); best == nil || score < lowest {
-				best, lowest = s, score
+			if score < lowest {
+				best, lowest = i, score
 			}
 		}
-		if best == nil || f.takeCold(best, need, now) {
-			return best
+		if f.takeCold(candidates[best], need, now) {
+			return candidates[best]
+		}
+		candidates = slices.Delete(candidates, best, best+1)
+	}
+	return nil
+}
+
+// holder returns the candidate that all daemons take for the holder of the part: the one with the highest hash.
+func (a Affinity) holder(candidates []*server) *server {
+	if a.Key == "" {
+		return nil
+	}
+	var holder *server
+	var highest uint64
+	for _, s := range candidates {
+		if weight := xxhash.Sum64String(a.Key + string(s.entry.Server)); holder == nil || weight > highest {
+			holder, highest = s, weight
 		}
-		tried[best] = true
 	}
+	return holder
 }
 
 // score estimates when an answer of the server would begin, in seconds.
--- a/crlforward/carry.go
+++ b/crlforward/carry.go
@@ -98,9 +98,11 @@
 	}
 	target := x.plan.Prefers(xxhash.Sum64String(string(key.session)), x.last)
 	pinned := x.plan.Pinned && x.last != ""
-	cost := x.estimate(s.paces.of(plan.model(), plan.models))
+	pace := s.paces.of(plan.model(), plan.models)
+	cost := x.estimate(pace)
 	return s.config.Fleet.Pick(crlfleet.Need{
 		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, Work: cost.work, Rest: cost.rest, Expected: cost.firstByte,
+		Affinity: x.affinity(pace),
 		Allows: func(v crlid.Version) bool {
 			return x.plan.Allows(v) && (!pinned || v == x.last || v != x.plan.Target)
 		},
--- a/crlforward/model.go
+++ b/crlforward/model.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
 
@@ -75,6 +76,24 @@
 	}
 }
 
+// affinityWeight values reading that is saved above the caller's own wait, since it makes room for others.
+const affinityWeight = 2
+
+// affinity returns the part of the prompt that requests share most, and what a server gains that holds it.
+func (x *exchange) affinity(pace float64) crlfleet.Affinity {
+	parts := x.head.Parts
+	if !x.route.Affinity || len(parts) == 0 {
+		return crlfleet.Affinity{}
+	}
+	// The last part belongs to the request or its session alone; the one before it is the most special shared one.
+	at := max(len(parts)-2, 0)
+	var tokens crlid.Tokens
+	for _, part := range parts[:at+1] {
+		tokens += part.Tokens
+	}
+	return crlfleet.Affinity{Key: parts[at].ID, Gains: affinityWeight * pace * float64(tokens) / prefillRate}
+}
+
 // paces learns how long each model takes to read a prompt, against one of pace 1.
 type paces struct {
 	mu    sync.Mutex // mu guards known.
