Let two daemons read the store and relay to the others

Ruled out: longer polls alone, as keys need fresh proof. Change: a replica for each topic, fed by the store at two readers named by the group's partitions, by long calls between daemons elsewhere; a proof is dated from when the call was sent, less its age at the source; without a fresh proof a daemon reads itself.

--- a/crlplatform/keyed.go
+++ b/crlplatform/keyed.go
@@ -35,9 +35,18 @@
 // Error describes the conflict in one line.
 func (c *Conflict) Error() string { return "the topic has grown since it was read" }
 
-// Membership is a member's part in a group.
-type Membership struct {
-	Generation int64
-	Held       int // Held is the number of partitions that the member holds.
-	Total      int // Total is the number of partitions that the group shares.
+// Join asks to join a group or to stay in it.
+type Join struct {
+	Group      string
+	Member     string
+	Topics     int           // Topics is the number of topics whose partitions the group shares.
+	TTL        time.Duration // TTL is how long a silent member keeps its partitions.
+	Generation int64         // Generation is the newest that the member knows, 0 at first.
+}
+
+// Owner is the member that holds one partition of a group.
+type Owner struct {
+	Topic     int
+	Partition int
+	Member    string
 }
--- /dev/null
+++ b/crlrelay/follower.go
@@ -0,0 +1,215 @@
+package crlrelay
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpeer"
+)
+
+// Caller calls peers.
+type Caller interface {
+	Call(ctx context.Context, address string, method crlpeer.Method, params, result any) error
+}
+
+const (
+	// FollowWait is how long a follower's call is held; a follower's proof is that much older than its reader's.
+	FollowWait = 500 * time.Millisecond
+	// pauseAfterFailure is the pause before the next source is tried.
+	pauseAfterFailure = 50 * time.Millisecond
+	// Readers is the number of daemons that read the store, two so that one may fail unnoticed.
+	Readers = 2
+)
+
+// EventSource is logged when a follower turns to another source.
+const EventSource crllog.Event = "relay-source"
+
+// FollowerConfig configures a Follower.
+type FollowerConfig struct {
+	Self      Member
+	Replicas  map[Topic]*Replica
+	Peers     Caller
+	Now       crlclock.Clock
+	Lines     *crllog.Logger
+	Fresh     map[Topic]time.Duration    // Fresh bounds the age of each topic's proof, beyond which another source is looked for.
+	Unsettled func(Topic, time.Duration) // Unsettled takes how much longer a missing record may come back.
+}
+
+// Follower keeps replicas in step with a reader's.
+type Follower struct {
+	config  FollowerConfig
+	mu      sync.Mutex // mu guards roster and fresh.
+	roster  Roster
+	fresh   crlclock.Instant // fresh is the end of the time for which the proofs that came from peers are good enough, 0 at first.
+	source  Member
+	cursors map[Topic]Cursor
+	turn    int // turn counts the sources that were given up in a row.
+}
+
+// NewFollower returns a follower that knows no other daemon.
+func NewFollower(config FollowerConfig) *Follower {
+	return &Follower{config: config, cursors: make(map[Topic]Cursor)}
+}
+
+// Roster returns the newest known roster.
+func (f *Follower) Roster() Roster {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster
+}
+
+// Learn takes a roster unless a newer one is known.
+func (f *Follower) Learn(roster Roster) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if roster.Generation > f.roster.Generation {
+		f.roster = roster
+	}
+}
+
+// Reads reports whether this daemon should read the store itself: as a reader, or for want of a fresh proof from a peer.
+func (f *Follower) Reads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reader() || f.config.Now() > f.fresh
+}
+
+func (f *Follower) reader() bool {
+	for i, m := range f.roster.Members {
+		if i < Readers && m.Incarnation == f.config.Self.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		source, ok := f.next()
+		if !ok {
+			wait(ctx, FollowWait)
+			continue
+		}
+		if !f.follow(ctx, source) {
+			f.turn++
+			wait(ctx, pauseAfterFailure)
+			continue
+		}
+		f.turn = 0
+	}
+	return ctx.Err()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// next returns the source to ask: readers first, those of the same failure domain before others, then any daemon.
+func (f *Follower) next() (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reader() && f.turn == 0 && f.ownFresh() > f.config.Now() {
+		return Member{}, false // A reader whose own reads succeed needs no other.
+	}
+	type ranked struct {
+		member Member
+		rank   int
+		hash   uint64
+	}
+	var sources []ranked
+	for i, m := range f.roster.Members {
+		if m.Incarnation == f.config.Self.Incarnation {
+			continue
+		}
+		r := ranked{member: m, hash: xxhash.Sum64String(string(m.Incarnation) + string(f.config.Self.Incarnation))}
+		if i >= Readers {
+			r.rank = 2
+		} else if m.Domain != f.config.Self.Domain {
+			r.rank = 1
+		}
+		sources = append(sources, r)
+	}
+	if len(sources) == 0 {
+		return Member{}, false
+	}
+	slices.SortFunc(sources, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.hash, b.hash)) })
+	return sources[f.turn%len(sources)].member, true
+}
+
+// ownFresh returns until when the proofs that the daemon holds are good enough.
+func (f *Follower) ownFresh() crlclock.Instant {
+	end := crlclock.Instant(math.MaxInt64)
+	for topic, r := range f.config.Replicas {
+		end = min(end, r.Proved().Add(f.config.Fresh[topic]))
+	}
+	return end
+}
+
+// follow makes one call to a source and reports whether its proof is fresh.
+func (f *Follower) follow(ctx context.Context, source Member) bool {
+	if source.Incarnation != f.source.Incarnation {
+		f.source = source
+		clear(f.cursors)
+		f.config.Lines.Event(EventSource, slog.String("source", source.Address), slog.Int("given-up", f.turn))
+	}
+	var news News
+	asked := f.config.Now()
+	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, Follow{
+		Source: source.Incarnation, Cursors: f.cursors, Wait: Milliseconds(FollowWait.Milliseconds()), Roster: f.Roster().Generation,
+	}, &news)
+	if err != nil || news.Source != source.Incarnation {
+		return false
+	}
+	if news.Roster != nil {
+		f.Learn(*news.Roster)
+	}
+	return f.take(news, asked)
+}
+
+// take applies news and reports whether they are fresh; a proof is dated from when the call was sent, less its age at the source.
+func (f *Follower) take(news News, asked crlclock.Instant) bool {
+	for topic := range f.config.Replicas {
+		if t, ok := news.Topics[topic]; !ok || t.Age < 0 {
+			return false
+		}
+	}
+	fresh := crlclock.Instant(math.MaxInt64)
+	for topic, replica := range f.config.Replicas {
+		t := news.Topics[topic]
+		f.config.Unsettled(topic, time.Duration(t.Unsettled)*time.Millisecond)
+		if t.Whole {
+			replica.Replace(t.Records, t.End)
+		} else {
+			replica.Apply(t.Records, t.End)
+		}
+		f.cursors[topic] = t.Cursor
+		proved := asked.Add(-time.Duration(t.Age) * time.Millisecond)
+		replica.Prove(proved)
+		fresh = min(fresh, proved.Add(f.config.Fresh[topic]))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fresh = max(f.fresh, fresh)
+	return fresh > f.config.Now()
+}
+
+// Self returns this daemon as a member.
+func (f *Follower) Self() Member { return f.config.Self }
+
+// Count returns the number of daemons in the roster, at least 1.
+func (f *Follower) Count() int { return max(len(f.Roster().Members), 1) }
--- /dev/null
+++ b/crlrelay/message.go
@@ -0,0 +1,51 @@
+package crlrelay
+
+import (
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlpeer"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+)
+
+// MethodFollow asks a daemon for what changed in its replicas.
+const MethodFollow crlpeer.Method = "follow-topics"
+
+// Milliseconds is a length of time between daemons, since their clocks are not compared.
+type Milliseconds int64
+
+// Follow is what a follower asks for.
+type Follow struct {
+	Source  crlid.Incarnation `json:"source"` // Source is the daemon that the cursors are of; others start at 0.
+	Cursors map[Topic]Cursor  `json:"cursors"`
+	Wait    Milliseconds      `json:"wait-ms"` // Wait bounds how long the call is held when there is nothing new.
+	Roster  int64             `json:"roster"`  // Roster is the generation of the roster that the follower knows.
+}
+
+// News is the answer to a Follow.
+type News struct {
+	Source crlid.Incarnation   `json:"source"`
+	Topics map[Topic]TopicNews `json:"topics"`
+	Roster *Roster             `json:"roster,omitempty"` // Roster is set when it is newer than the follower's.
+}
+
+// TopicNews is what changed in one replica.
+type TopicNews struct {
+	Whole     bool                      `json:"whole"` // Whole is set when the records are all there are.
+	Records   []crlplatform.KeyedRecord `json:"records,omitempty"`
+	Cursor    Cursor                    `json:"cursor"`
+	End       crlid.Offset              `json:"end"`
+	Age       Milliseconds              `json:"age-ms"`       // Age is how long ago the replica was known to be complete, negative for never.
+	Unsettled Milliseconds              `json:"unsettled-ms"` // Unsettled is how much longer a missing record may still come back.
+}
+
+// Member is one daemon of the roster.
+type Member struct {
+	Incarnation crlid.Incarnation `json:"incarnation"`
+	Address     string            `json:"address"`
+	Domain      crlid.Domain      `json:"failure-domain"`
+}
+
+// Roster lists the daemons of the group; the first ones read the store.
+type Roster struct {
+	Generation int64    `json:"generation"`
+	Members    []Member `json:"members"`
+}
--- /dev/null
+++ b/crlrelay/replica.go
@@ -0,0 +1,162 @@
+package crlrelay
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+)
+
+// Topic names a topic of the store.
+type Topic string
+
+// Cursor is how far a follower knows a replica; a replica's changes are numbered from 1.
+type Cursor int64
+
+// ReplicaConfig configures a Replica.
+type ReplicaConfig struct {
+	// Changed takes records that are new, in the order of the topic; it is called by one goroutine at a time.
+	Changed func(records []crlplatform.KeyedRecord)
+	// Same reports whether a record says nothing new against the one before, nil when every record does.
+	Same func(before, after crlplatform.KeyedRecord) bool
+}
+
+// Replica holds the newest record of each key of a topic; it may be used by several goroutines.
+type Replica struct {
+	config  ReplicaConfig
+	mu      sync.Mutex // mu guards all below, and orders the calls of Changed.
+	records map[string]numbered
+	newest  Cursor
+	end     crlid.Offset
+	proved  crlclock.Instant
+	known   bool
+	news    chan struct{} // news is closed at the next change.
+}
+
+// numbered is a record with the number of the change that brought it.
+type numbered struct {
+	record crlplatform.KeyedRecord
+	change Cursor
+}
+
+// NewReplica returns an empty replica.
+func NewReplica(config ReplicaConfig) *Replica {
+	return &Replica{config: config, records: make(map[string]numbered), end: crlid.NoOffset, news: make(chan struct{})}
+}
+
+// Apply takes records that follow each other in the topic, and the offset at which the topic ended then.
+func (r *Replica) Apply(records []crlplatform.KeyedRecord, end crlid.Offset) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(records, end)
+}
+
+// Replace takes the newest record of every key; what is missing was dropped before the topic's end.
+func (r *Replica) Replace(records []crlplatform.KeyedRecord, end crlid.Offset) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	present := make(map[string]bool, len(records))
+	for _, record := range records {
+		present[record.Key] = true
+	}
+	all := slices.Clone(records)
+	for key, n := range r.records {
+		if !present[key] && !n.record.Deleted && n.record.Offset < end {
+			all = append(all, crlplatform.KeyedRecord{Key: key, Deleted: true, Offset: end - 1})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b crlplatform.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	r.apply(all, end)
+	r.known = true
+}
+
+func (r *Replica) apply(records []crlplatform.KeyedRecord, end crlid.Offset) {
+	var changed []crlplatform.KeyedRecord
+	for _, record := range records {
+		before, ok := r.records[record.Key]
+		if ok && record.Offset <= before.record.Offset {
+			continue
+		}
+		same := ok && r.config.Same != nil && !record.Deleted && !before.record.Deleted && r.config.Same(before.record, record)
+		if same {
+			r.records[record.Key] = numbered{record: record, change: before.change}
+			continue
+		}
+		r.newest++
+		r.records[record.Key] = numbered{record: record, change: r.newest}
+		changed = append(changed, record)
+	}
+	r.end = max(r.end, end)
+	if len(changed) == 0 {
+		return
+	}
+	r.config.Changed(changed)
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+// Prove takes a moment at which the replica held all that the topic did.
+func (r *Replica) Prove(at crlclock.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.proved = max(r.proved, at)
+}
+
+// Proved returns the newest moment at which the replica is known to have been complete, 0 for never.
+func (r *Replica) Proved() crlclock.Instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proved
+}
+
+// End returns the offset up to which the topic is known.
+func (r *Replica) End() crlid.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.end
+}
+
+// Known reports whether every key of the topic is known.
+func (r *Replica) Known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known
+}
+
+// News returns a channel that is closed when there is more than a follower knows.
+func (r *Replica) News(after Cursor) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.newest > after {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	return r.news
+}
+
+// delta is what a follower lacks.
+type delta struct {
+	records []crlplatform.KeyedRecord
+	newest  Cursor
+	end     crlid.Offset
+	proved  crlclock.Instant
+	known   bool
+}
+
+// since returns the records that changed after a cursor, in the order of the topic.
+func (r *Replica) since(after Cursor) delta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := delta{newest: r.newest, end: r.end, proved: r.proved, known: r.known}
+	for _, n := range r.records {
+		if n.change > after {
+			d.records = append(d.records, n.record)
+		}
+	}
+	slices.SortFunc(d.records, func(a, b crlplatform.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	return d
+}
--- /dev/null
+++ b/crlrelay/serve.go
@@ -0,0 +1,80 @@
+package crlrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+// longestWait bounds how long a follower's call is held.
+const longestWait = time.Second
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Self      crlid.Incarnation
+	Replicas  map[Topic]*Replica
+	Roster    func() Roster
+	Unsettled func(Topic) time.Duration // Unsettled returns how much longer a missing record of a topic may come back.
+	Now       crlclock.Clock
+}
+
+// Server answers followers.
+type Server struct{ config ServerConfig }
+
+// NewServer returns a server of replicas.
+func NewServer(config ServerConfig) *Server { return &Server{config: config} }
+
+// Follow holds the call until there is news or its wait is over.
+func (s *Server) Follow(ctx context.Context, f Follow) (News, error) {
+	if f.Source != s.config.Self {
+		f.Cursors = nil
+	}
+	s.wait(ctx, f)
+	news := News{Source: s.config.Self, Topics: make(map[Topic]TopicNews, len(s.config.Replicas))}
+	for topic, replica := range s.config.Replicas {
+		after := f.Cursors[topic]
+		d := replica.since(after)
+		if !d.known {
+			news.Topics[topic] = TopicNews{Age: -1}
+			continue
+		}
+		age := Milliseconds(-1)
+		if d.proved > 0 {
+			// Rounded up, so that no proof looks newer than it is.
+			age = Milliseconds(s.config.Now().Sub(d.proved).Milliseconds() + 1)
+		}
+		news.Topics[topic] = TopicNews{
+			Whole: after == 0, Records: d.records, Cursor: d.newest, End: d.end, Age: age,
+			Unsettled: Milliseconds(s.config.Unsettled(topic).Milliseconds()),
+		}
+	}
+	if roster := s.config.Roster(); roster.Generation > f.Roster {
+		news.Roster = &roster
+	}
+	return news, nil
+}
+
+func (s *Server) wait(ctx context.Context, f Follow) {
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(f.Wait)*time.Millisecond, longestWait))
+	defer cancel()
+	arrived := make(chan struct{}, 1)
+	for topic, replica := range s.config.Replicas {
+		news := replica.News(f.Cursors[topic])
+		go func() {
+			select {
+			case <-news:
+				select {
+				case arrived <- struct{}{}:
+				default:
+				}
+			case <-ctx.Done():
+			}
+		}()
+	}
+	select {
+	case <-arrived:
+	case <-ctx.Done():
+	}
+}
--- a/crlrouter/beliefs.go
+++ b/crlrouter/beliefs.go
@@ -6,7 +6,6 @@
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
-	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
@@ -41,42 +40,17 @@
 
 // orders keeps what operators ordered.
 type orders struct {
-	codec     Codec
-	fleet     *crlfleet.Fleet
-	rollouts  *crlrollout.Book
-	now       crlclock.Clock
-	lines     *crllog.Logger
-	table     atomic.Pointer[crlroute.Table]
-	proved    atomic.Int64 // proved is a crlclock.Instant.
-	newest    crlid.Offset // newest is the offset of the configuration in force.
-	evacuated map[crlid.Domain]bool
-	found     bool // found is set once the orders of before this daemon's start are known.
-}
-
-// state returns the configuration in force for traffic.
-func (o *orders) state() crlforward.State {
-	return crlforward.State{Table: o.table.Load(), Proved: crlclock.Instant(o.proved.Load())}
-}
-
-func (o *orders) prove(at crlclock.Instant) {
-	if int64(at) > o.proved.Load() {
-		o.proved.Store(int64(at))
-	}
-}
-
-// replace takes the newest order of every key; evacuations that are not among them have ended.
-func (o *orders) replace(records []crlplatform.KeyedRecord) {
-	before := o.evacuated
-	o.evacuated = make(map[crlid.Domain]bool)
-	o.change(records)
-	for domain := range before {
-		if !o.evacuated[domain] {
-			o.evacuate(Order{Evacuated: domain, Withdrawn: true})
-		}
-	}
-	o.found = true
+	codec    Codec
+	fleet    *crlfleet.Fleet
+	rollouts *crlrollout.Book
+	now      crlclock.Clock
+	lines    *crllog.Logger
+	table    atomic.Pointer[crlroute.Table]
+	newest   crlid.Offset // newest is the offset of the configuration in force.
+	started  bool         // started is set once the orders of before this daemon's start are known.
 }
 
+// change takes orders in the order of the topic; the replica that calls it does so one at a time.
 func (o *orders) change(records []crlplatform.KeyedRecord) {
 	for _, r := range records {
 		order, err := o.codec.DecodeOrder(r)
@@ -93,6 +67,7 @@
 			o.evacuate(order)
 		}
 	}
+	o.started = true
 }
 
 // configure puts a configuration in force unless a later one is already.
@@ -112,7 +87,7 @@
 	if order.Withdrawn {
 		o.rollouts.Withdraw(r.Service)
 	} else {
-		o.rollouts.Order(r, !o.found, o.now())
+		o.rollouts.Order(r, !o.started, o.now())
 	}
 	o.lines.Event(EventOrder, slog.String("order", "rollout"), slog.String("service", string(r.Service)),
 		slog.String("target", string(r.Target)), slog.Bool("withdrawn", order.Withdrawn), slog.Int64("offset", int64(order.Offset)))
@@ -120,11 +95,6 @@
 
 func (o *orders) evacuate(order Order) {
 	o.fleet.Evacuate(order.Evacuated, !order.Withdrawn)
-	if order.Withdrawn {
-		delete(o.evacuated, order.Evacuated)
-	} else {
-		o.evacuated[order.Evacuated] = true
-	}
 	o.lines.Event(EventOrder, slog.String("order", "evacuate"), slog.String("failure-domain", string(order.Evacuated)),
 		slog.Bool("withdrawn", order.Withdrawn), slog.Int64("offset", int64(order.Offset)))
 }
--- a/crlrouter/members.go
+++ b/crlrouter/members.go
@@ -1,63 +1,115 @@
 package crlrouter
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
-	"math"
-	"sync/atomic"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
 )
 
 const (
 	memberGroup  = "routers"
+	memberTopics = 30              // memberTopics of 12 partitions each leave one partition for each daemon of the planned size.
 	memberPeriod = 2 * time.Second // memberPeriod is how often a member says that it is there.
 	memberTTL    = 6 * time.Second // memberTTL is three periods, so that one lost call changes nothing.
-	shareMargin  = 0.8             // shareMargin covers members that hold a share for a moment after others joined.
+	rosterPeriod = 5 * time.Second // rosterPeriod is how often a reader looks at the roster without a change.
+	shareMargin  = 0.8             // shareMargin covers daemons that hold a share for a moment after others joined.
 	firstShare   = 1.0 / 24        // firstShare is for a daemon that knows nothing of the others yet.
 )
 
-// EventMembership is logged when a daemon's part of shared limits changes.
+// EventMembership is logged when the roster changes.
 const EventMembership crllog.Event = "membership"
 
-// members keeps the daemon's part of limits that all daemons share.
+// members keeps the daemon in the group of all daemons and knows who else is in it.
 type members struct {
-	log   KeyedLog
-	self  crlid.Incarnation
-	lines *crllog.Logger
-	part  atomic.Uint64 // part holds the bits of a float64.
+	log      KeyedLog
+	follower *crlrelay.Follower
+	lines    *crllog.Logger
 }
 
-// share returns the daemon's part, above 0 and at most 1.
+// share returns the daemon's part of limits that all daemons share, above 0 and at most 1.
 func (m *members) share() float64 {
-	if bits := m.part.Load(); bits != 0 {
-		return math.Float64frombits(bits)
+	if roster := m.follower.Roster(); len(roster.Members) > 0 {
+		return shareMargin / float64(len(roster.Members))
 	}
 	return firstShare
 }
 
-// run keeps the daemon in the group until ctx ends.
+// memberName encodes a member as the name under which it joins.
+func memberName(m crlrelay.Member) string {
+	return strings.Join([]string{m.Address, string(m.Domain), string(m.Incarnation)}, " ")
+}
+
+// parseMember decodes the name of a member; ok is false for names that no router made.
+func parseMember(name string) (member crlrelay.Member, ok bool) {
+	fields := strings.Fields(name)
+	const parts = 3
+	if len(fields) != parts {
+		return crlrelay.Member{}, false
+	}
+	return crlrelay.Member{Address: fields[0], Domain: crlid.Domain(fields[1]), Incarnation: crlid.Incarnation(fields[2])}, true
+}
+
+// run keeps the daemon in the group until ctx ends, and then leaves it.
 func (m *members) run(ctx context.Context) error {
+	self := memberName(m.follower.Self())
 	var generation int64
+	var listed time.Time
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callSlack)
-		membership, err := m.log.Join(call, memberGroup, m.self, memberTTL, generation)
+		joined, err := m.log.Join(call, crlplatform.Join{
+			Group: memberGroup, Member: self, Topics: memberTopics, TTL: memberTTL, Generation: generation,
+		})
 		cancel()
-		if err == nil && membership.Total > 0 {
-			generation = membership.Generation
-			m.take(shareMargin*max(float64(membership.Held)/float64(membership.Total), firstShare), generation)
+		changed := err == nil && joined != generation
+		if err == nil {
+			generation = joined
+		}
+		// Only daemons that read the store themselves look at the roster; the others get it from them.
+		if err == nil && m.follower.Reads() && (changed || time.Since(listed) > rosterPeriod) {
+			m.list(ctx, generation)
+			listed = time.Now()
 		}
 		sleep(ctx, memberPeriod)
 	}
+	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainMargin)
+	defer cancel()
+	if err := m.log.Leave(leave, memberGroup, self); err != nil {
+		m.lines.Event(EventMembership, slog.String("outcome", "left without notice"), slog.String("cause", err.Error()))
+	}
 	return ctx.Err()
 }
 
-func (m *members) take(share float64, generation int64) {
-	if share == m.share() {
+// list reads the roster; its order is that of the partitions, so that all daemons agree on the first ones.
+func (m *members) list(ctx context.Context, generation int64) {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	owners, err := m.log.Owners(ctx, memberGroup)
+	if err != nil {
+		m.lines.Event(EventMembership, slog.String("outcome", "kept the roster"), slog.String("cause", err.Error()))
 		return
 	}
-	m.part.Store(math.Float64bits(share))
-	m.lines.Event(EventMembership, slog.Float64("share", share), slog.Int64("generation", generation))
+	slices.SortFunc(owners, func(a, b crlplatform.Owner) int {
+		return cmp.Or(cmp.Compare(a.Topic, b.Topic), cmp.Compare(a.Partition, b.Partition))
+	})
+	roster := crlrelay.Roster{Generation: generation}
+	seen := make(map[string]bool)
+	for _, owner := range owners {
+		member, ok := parseMember(owner.Member)
+		if ok && !seen[owner.Member] {
+			seen[owner.Member] = true
+			roster.Members = append(roster.Members, member)
+		}
+	}
+	if roster.Generation != m.follower.Roster().Generation {
+		m.lines.Event(EventMembership, slog.Int64("generation", generation), slog.Int("members", len(roster.Members)))
+	}
+	m.follower.Learn(roster)
 }
--- a/crlrouter/rollouts.go
+++ b/crlrouter/rollouts.go
@@ -5,14 +5,13 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
-	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
 )
 
@@ -28,7 +27,7 @@
 	fleet    *crlfleet.Fleet
 	now      crlclock.Clock
 	lines    *crllog.Logger
-	end      atomic.Int64 // end is the offset up to which the states are known; a write is refused when there are more.
+	replica  *crlrelay.Replica // replica holds the states that are known; a write is refused when there are more.
 }
 
 // take takes states that daemons wrote.
@@ -39,7 +38,6 @@
 			p.lines.Event(EventStatus, slog.String("service", string(status.Service)), slog.String("target", string(status.Target)),
 				slog.String("state", status.State.String()), slog.Int64("offset", int64(r.Offset)), slog.String("outcome", "learned"))
 		}
-		p.end.Store(max(p.end.Load(), int64(r.Offset)+1))
 	}
 }
 
@@ -47,6 +45,9 @@
 func (p *reporter) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, statusPeriod/2+rand.N(statusPeriod))
+		if !p.replica.Known() {
+			continue
+		}
 		for _, status := range p.rollouts.Due(p.now(), p.fleet.Capacity) {
 			// Daemons that are due together wait a moment at random, so that mostly one writes.
 			if status.State != crlrollout.StateRolledBack && rand.N(4) > 0 {
@@ -67,7 +68,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callSlack)
 	defer cancel()
-	_, err = p.log.AppendAt(ctx, p.topic, record, crlid.Offset(p.end.Load()))
+	at := p.replica.End()
+	_, err = p.log.AppendAt(ctx, p.topic, record, at)
 	outcome, cause := "written", ""
 	var conflict *crlplatform.Conflict
 	switch {
@@ -77,5 +79,5 @@
 		outcome, cause = "unknown", err.Error()
 	}
 	p.lines.Event(EventStatus, slog.String("service", string(status.Service)), slog.String("target", string(status.Target)),
-		slog.String("state", status.State.String()), slog.Int64("at", p.end.Load()), slog.String("outcome", outcome), slog.String("cause", cause))
+		slog.String("state", status.State.String()), slog.Int64("at", int64(at)), slog.String("outcome", outcome), slog.String("cause", cause))
 }
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -24,6 +24,8 @@
 	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpeer"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
 )
 
@@ -53,6 +55,9 @@
 	servers  *servers
 	reporter *reporter
 	members  *members
+	follower *crlrelay.Follower
+	replicas map[crlrelay.Topic]*crlrelay.Replica
+	peers    *crlpeer.Client
 	fleet    *crlfleet.Fleet
 	service  *crlforward.Service
 	registry *prometheus.Registry
@@ -60,43 +65,54 @@
 }
 
 const (
-	ordersWait    = time.Second            // ordersWait renews the proof of the configuration several times within its age.
-	statusWait    = 5 * time.Second        // statusWait is long because states are rare and a read ends when one is written.
-	serversPause  = 500 * time.Millisecond // serversPause is a quarter of the time within which a leaving server must get nothing.
-	proofFraction = 0.9                    // proofFraction of the bound on revocations leaves a tenth for coarse clocks.
-	inFlightBytes = 64 << 10               // inFlightBytes is the memory that one request takes with its body and buffers.
-	memoryPart    = 0.6                    // memoryPart of the memory is the runtime's soft limit.
-	gcPercent     = 40                     // gcPercent trades processor time, which is spare, for peak memory.
+	ordersWait    = 1500 * time.Millisecond // ordersWait renews the proof of the configuration several times within its age.
+	statusWait    = 5 * time.Second         // statusWait is long because states are rare and a read ends when one is written.
+	serversPause  = 700 * time.Millisecond  // serversPause is a third of the time within which a leaving server must get nothing.
+	proofFraction = 0.9                     // proofFraction of the bound on revocations leaves a tenth for coarse clocks.
+	inFlightBytes = 64 << 10                // inFlightBytes is the memory that one request takes with its body and buffers.
+	memoryPart    = 0.6                     // memoryPart of the memory is the runtime's soft limit.
+	gcPercent     = 40                      // gcPercent trades processor time, which is spare, for peak memory.
 )
 
 // New returns a router that has not begun to serve.
 func New(config Config) *Router {
 	s := config.Settings
 	r := &Router{config: config, registry: prometheus.NewRegistry(), stop: make(chan struct{})}
-	r.members = &members{log: config.Log, self: crlid.NewIncarnation(), lines: config.Lines}
+	r.peers = crlpeer.NewClient(crlpeer.ClientConfig{ConnectTimeout: peerConnect, CallTimeout: crlrelay.FollowWait + peerConnect})
+	r.replicas = make(map[crlrelay.Topic]*crlrelay.Replica)
+	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
+		Self:     crlrelay.Member{Incarnation: crlid.NewIncarnation(), Address: s.Peer, Domain: s.Domain},
+		Replicas: r.replicas, Peers: r.peers, Now: config.Clock, Lines: config.Lines, Unsettled: r.relayed,
+		Fresh: map[crlrelay.Topic]time.Duration{
+			topicOrders: 2*ordersWait + relaySlack, topicServers: 2*serversPause + relaySlack, topicStatus: 2*statusWait + relaySlack,
+		},
+	})
+	r.members = &members{log: config.Log, follower: r.follower, lines: config.Lines}
 	r.fleet = crlfleet.New(crlfleet.Config{
 		Domain: s.Domain, Share: r.members.share, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
 		Now: config.Clock, Log: logTransition(config.Lines),
 	})
 	rollouts := crlrollout.NewBook()
 	r.orders = &orders{
-		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, lines: config.Lines,
-		newest: crlid.NoOffset, evacuated: make(map[crlid.Domain]bool),
+		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, lines: config.Lines, newest: crlid.NoOffset,
 	}
 	r.servers = &servers{
-		codec: config.Codec, fleet: r.fleet, now: config.Clock, lines: config.Lines,
-		offsets: make(map[string]crlid.Offset), doubtful: make(map[crlid.Server]bool),
+		codec: config.Codec, fleet: r.fleet, now: config.Clock, lines: config.Lines, doubtful: make(map[crlid.Server]bool),
 	}
 	r.reporter = &reporter{
 		codec: config.Codec, log: config.Log, topic: config.Topics.Status, rollouts: rollouts, fleet: r.fleet,
 		now: config.Clock, lines: config.Lines,
 	}
+	r.replicas[topicOrders] = crlrelay.NewReplica(crlrelay.ReplicaConfig{Changed: r.orders.change})
+	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{Changed: r.servers.change, Same: r.servers.same})
+	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{Changed: r.reporter.take})
+	r.replicas[topicStatus] = r.reporter.replica
 	proofAge := longestProof
 	if s.Bounds.Revocation > 0 {
 		proofAge = time.Duration(proofFraction * float64(s.Bounds.Revocation))
 	}
 	r.service = crlforward.New(crlforward.Config{
-		Dialect: config.Dialect, State: r.orders.state, Fleet: r.fleet, Rollouts: rollouts,
+		Dialect: config.Dialect, State: r.state, Fleet: r.fleet, Rollouts: rollouts,
 		Retries: crlbudget.NewRetry(crlbudget.RetryConfig{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Share: r.members.share,
 		}),
@@ -108,6 +124,38 @@
 	return r
 }
 
+// Topics as routers name them to each other.
+const (
+	topicOrders  crlrelay.Topic = "orders"
+	topicServers crlrelay.Topic = "servers"
+	topicStatus  crlrelay.Topic = "status"
+)
+
+// relaySlack is how much older than at its reader a proof may be, with one call that failed. A reader's own proof grows as
+// old as two reads when it has just begun to read.
+const relaySlack = 2 * crlrelay.FollowWait
+
+// peerConnect bounds opening a connection to another router, many times the round trip between failure domains.
+const peerConnect = 400 * time.Millisecond
+
+// state returns what holds for a request that arrives now.
+func (r *Router) state() crlforward.State {
+	return crlforward.State{Table: r.orders.table.Load(), Proved: r.replicas[topicOrders].Proved()}
+}
+
+func (r *Router) relayed(topic crlrelay.Topic, unsettled time.Duration) {
+	if topic == topicServers {
+		r.servers.relayed(unsettled)
+	}
+}
+
+func (r *Router) unsettled(topic crlrelay.Topic) time.Duration {
+	if topic == topicServers {
+		return r.servers.unsettled()
+	}
+	return 0
+}
+
 const (
 	longestProof = time.Minute // longestProof is for deployments that don't bound revocations.
 	minInFlight  = 64          // minInFlight is for VMs whose memory is not stated.
@@ -119,7 +167,7 @@
 	}
 	return []prometheus.Collector{
 		gauge("proof_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
-			return r.config.Clock().Sub(r.orders.state().Proved).Seconds()
+			return r.config.Clock().Sub(r.state().Proved).Seconds()
 		}),
 		gauge("shared_limits_part", "The daemon's part of limits that all daemons share.", r.members.share),
 		gauge("open_requests", "Requests that are held.", func() float64 { return float64(r.service.Open()) }),
@@ -143,7 +191,7 @@
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 	}
 	r.config.Lines.Event(EventStart, slog.String("daemon", string(s.Daemon)), slog.String("failure-domain", string(s.Domain)),
-		slog.String("incarnation", string(r.members.self)))
+		slog.String("incarnation", string(r.follower.Self().Incarnation)))
 	var group run.Group
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -163,38 +211,29 @@
 
 // tasks returns the loops that keep the router's knowledge.
 func (r *Router) tasks() []func(context.Context) error {
-	c := r.config
-	status := newWatch(watchConfig{
-		log: c.Log, topic: c.Topics.Status, wait: statusWait, now: c.Clock, lines: c.Lines,
-		whole: r.reporter.take, changed: r.reporter.take, proved: func(crlclock.Instant) {}, lost: func(bool) {},
-	})
-	orders := newWatch(watchConfig{
-		log: c.Log, topic: c.Topics.Orders, wait: ordersWait, now: c.Clock, lines: c.Lines,
-		whole: r.orders.replace, changed: r.orders.change, proved: r.orders.prove, lost: func(bool) {},
+	status := r.watch(watchConfig{topic: r.config.Topics.Status, replica: r.replicas[topicStatus], wait: statusWait})
+	orders := r.watch(watchConfig{topic: r.config.Topics.Orders, replica: r.replicas[topicOrders], wait: ordersWait})
+	servers := r.watch(watchConfig{
+		topic: r.config.Topics.Servers, replica: r.replicas[topicServers], pause: serversPause, lost: r.servers.setLost,
 	})
-	servers := newWatch(watchConfig{
-		log: c.Log, topic: c.Topics.Servers, pause: serversPause, now: c.Clock, lines: c.Lines,
-		whole: r.servers.replace, changed: r.servers.change, proved: r.servers.settled, lost: r.servers.setLost,
-	})
-	following := func(ctx context.Context) error {
-		// States of roll-outs are known before the orders that they belong to.
-		for retry := firstRetry; ctx.Err() == nil && !status.begun; retry = min(2*retry, lastRetry) {
-			if err := status.bootstrap(ctx); err != nil {
-				status.noteLost(err)
-				sleep(ctx, retry)
-			}
+	// States of roll-outs are known before the orders that they belong to.
+	ordersAfterStatus := func(ctx context.Context) error {
+		for ctx.Err() == nil && !r.replicas[topicStatus].Known() {
+			sleep(ctx, firstTablePeriod)
 		}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			// The watch ends with ctx, which is not an error of its own.
-			_ = status.run(ctx)
-		}()
-		err := orders.run(ctx)
-		<-done
-		return err
+		return orders.run(ctx)
+	}
+	return []func(context.Context) error{
+		status.run, ordersAfterStatus, servers.run, r.servers.run, r.reporter.run, r.members.run, r.follower.Run, r.reload,
 	}
-	return []func(context.Context) error{following, servers.run, r.reporter.run, r.members.run, r.reload}
+}
+
+func (r *Router) watch(config watchConfig) *watch {
+	config.log, config.now, config.lines, config.reads = r.config.Log, r.config.Clock, r.config.Lines, r.follower.Reads
+	if config.lost == nil {
+		config.lost = func(bool) {}
+	}
+	return newWatch(config)
 }
 
 // listen opens the addresses and adds what serves them to the group.
@@ -212,6 +251,15 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for metrics on setting %q: %w", s.Metrics, err), front.Close(), readiness.Close())
 	}
+	peers, err := net.Listen("tcp", s.Peer)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for other routers: %w", err), front.Close(), readiness.Close(), metrics.Close())
+	}
+	mux := crlpeer.NewMux()
+	mux.Register(crlrelay.MethodFollow, crlpeer.Typed(crlrelay.NewServer(crlrelay.ServerConfig{
+		Self: r.follower.Self().Incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Unsettled: r.unsettled, Now: r.config.Clock,
+	}).Follow))
+	group.Add(func() error { return mux.Serve(work, peers) }, func(error) { peers.Close() })
 	probe := &http.Server{Handler: r.probes(), ReadHeaderTimeout: probeTimeout}
 	group.Add(func() error { return probe.Serve(readiness) }, func(error) { probe.Close() })
 	group.Add(func() error { return probe.Serve(metrics) }, func(error) { probe.Close() })
@@ -276,7 +324,7 @@
 		return false
 	default:
 	}
-	state := r.orders.state()
+	state := r.state()
 	return state.Table != nil && !r.service.Draining()
 }
 
--- a/crlrouter/servers.go
+++ b/crlrouter/servers.go
@@ -1,7 +1,9 @@
 package crlrouter
 
 import (
+	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -17,47 +19,51 @@
 // settle is how long after an outage of the store a missing entry may still come back.
 const settle = 2200 * time.Millisecond
 
-// servers keeps the fleet in step with the entries in the store; only its watch's goroutine uses it.
+// servers keeps the fleet in step with the entries in the store.
 type servers struct {
-	codec   Codec
-	fleet   *crlfleet.Fleet
-	now     crlclock.Clock
-	lines   *crllog.Logger
-	offsets map[string]crlid.Offset
+	codec Codec
+	fleet *crlfleet.Fleet
+	now   crlclock.Clock
+	lines *crllog.Logger
+	mu    sync.Mutex // mu guards all below.
 	// doubtful holds servers whose entries lapsed around an outage, until they are back or the doubt ends.
 	doubtful map[crlid.Server]bool
 	lost     bool
 	trusted  crlclock.Instant // trusted is when a missing entry means again that its server is gone.
 }
 
-// setLost takes whether the store can't be read.
+// setLost takes whether the store can't be read by this daemon, which reads it itself.
 func (s *servers) setLost(lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.lost = lost
 	if !lost {
 		s.trusted = s.now().Add(settle)
 	}
 }
 
-// replace takes the newest entry of every server.
-func (s *servers) replace(records []crlplatform.KeyedRecord) {
-	present := make(map[crlid.Server]bool, len(records))
-	for _, r := range records {
-		present[crlid.Server(r.Key)] = true
-	}
-	for _, id := range s.fleet.Servers() {
-		if !present[id] {
-			s.remove(id)
-		}
+// relayed takes from the daemon that this one follows how much longer a missing entry may come back.
+func (s *servers) relayed(unsettled time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = false
+	s.trusted = max(s.trusted, s.now().Add(unsettled))
+}
+
+// unsettled returns how much longer a missing entry may come back.
+func (s *servers) unsettled() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return settle
 	}
-	s.change(records)
+	return max(s.trusted.Sub(s.now()), 0)
 }
 
 func (s *servers) change(records []crlplatform.KeyedRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, r := range records {
-		if known, ok := s.offsets[r.Key]; ok && r.Offset < known {
-			continue
-		}
-		s.offsets[r.Key] = r.Offset
 		id := crlid.Server(r.Key)
 		if r.Deleted {
 			s.remove(id)
@@ -74,6 +80,16 @@
 	}
 }
 
+// same reports whether two records of a server say the same of it, but for the count of its heartbeats.
+func (s *servers) same(before, after crlplatform.KeyedRecord) bool {
+	old, err := s.codec.DecodeServer(before)
+	if err != nil {
+		return false
+	}
+	entry, err := s.codec.DecodeServer(after)
+	return err == nil && entry == old && entry.ColdLeft == 0
+}
+
 func (s *servers) remove(id crlid.Server) {
 	if s.lost || s.now() < s.trusted {
 		s.doubtful[id] = true
@@ -82,8 +98,18 @@
 	s.fleet.Remove(id)
 }
 
-// settled removes the servers whose entries did not come back; it is called after each read.
-func (s *servers) settled(crlclock.Instant) {
+// run removes servers whose entries did not come back, until ctx ends.
+func (s *servers) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, idlePeriod)
+		s.settle()
+	}
+	return ctx.Err()
+}
+
+func (s *servers) settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.lost || s.now() < s.trusted {
 		return
 	}
--- a/crlrouter/settings.go
+++ b/crlrouter/settings.go
@@ -13,6 +13,7 @@
 	Listen      string // Listen is the address for callers.
 	Readiness   string // Readiness is the address that the balancer asks.
 	Metrics     string // Metrics is the address of metrics.
+	Peer        string // Peer is the address for other routers.
 	Store       string // Store is the address of the platform's store.
 	MemoryBytes int64  // MemoryBytes is the memory that the process may use.
 	Descriptors int    // Descriptors bounds open files and connections.
--- a/crlrouter/watch.go
+++ b/crlrouter/watch.go
@@ -11,6 +11,7 @@
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
 )
 
 // KeyedLog is the part of the platform's store that the router uses.
@@ -18,7 +19,9 @@
 	Newest(ctx context.Context, topic, after string) (page crlplatform.KeyedPage, more bool, err error)
 	Read(ctx context.Context, topic string, read crlplatform.KeyedRead) (crlplatform.KeyedPage, error)
 	AppendAt(ctx context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Offset) (end crlid.Offset, err error)
-	Join(ctx context.Context, group string, member crlid.Incarnation, ttl time.Duration, generation int64) (crlplatform.Membership, error)
+	Join(ctx context.Context, join crlplatform.Join) (generation int64, err error)
+	Leave(ctx context.Context, group, member string) error
+	Owners(ctx context.Context, group string) ([]crlplatform.Owner, error)
 }
 
 // Events that a watch logs.
@@ -31,23 +34,21 @@
 const (
 	callSlack  = 1200 * time.Millisecond // callSlack is added to a read's wait; a slow store answers within 600 ms.
 	firstRetry = 150 * time.Millisecond  // firstRetry is the pause after a failed read; it doubles up to lastRetry.
+	idlePeriod = 100 * time.Millisecond  // idlePeriod is how often a daemon that follows another looks whether it should read itself.
 	lastRetry  = 600 * time.Millisecond  // lastRetry keeps several tries within the time that a proof lasts.
 )
 
 // watchConfig configures a watch.
 type watchConfig struct {
-	log   KeyedLog
-	topic string
-	wait  time.Duration // wait is how long the store holds a read when there is nothing new.
-	pause time.Duration // pause is the least time between two reads, for topics that change all the time.
-	now   crlclock.Clock
-	lines *crllog.Logger
-	// whole takes the newest record of every key, in place of all that was known.
-	whole func(records []crlplatform.KeyedRecord)
-	// changed takes records in the order of the topic.
-	changed func(records []crlplatform.KeyedRecord)
-	// proved takes a moment at which what is known was the newest there is.
-	proved func(at crlclock.Instant)
+	log     KeyedLog
+	topic   string
+	wait    time.Duration // wait is how long the store holds a read when there is nothing new.
+	pause   time.Duration // pause is the least time between two reads, for topics that change all the time.
+	now     crlclock.Clock
+	lines   *crllog.Logger
+	replica *crlrelay.Replica
+	// reads tells whether this daemon should read the store now, rather than follow another.
+	reads func() bool
 	// lost takes whether the topic can't be read.
 	lost func(lost bool)
 }
@@ -55,8 +56,6 @@
 // watch follows one topic of the store.
 type watch struct {
 	config watchConfig
-	next   crlid.Offset // next is the offset from which records are not known yet.
-	begun  bool
 	failed crlclock.Instant // failed is when the topic could last be read, 0 while it can be.
 }
 
@@ -66,6 +65,10 @@
 func (w *watch) run(ctx context.Context) error {
 	retry := firstRetry
 	for ctx.Err() == nil {
+		if !w.config.reads() {
+			sleep(ctx, idlePeriod)
+			continue
+		}
 		began := time.Now()
 		err := w.step(ctx)
 		if err != nil {
@@ -83,34 +86,33 @@
 
 // step reads what is new, or everything at first and after the history was dropped.
 func (w *watch) step(ctx context.Context) error {
-	if !w.begun {
+	if !w.config.replica.Known() {
 		return w.bootstrap(ctx)
 	}
-	sent := w.config.now()
+	from, sent := w.config.replica.End(), w.config.now()
 	ctx, cancel := context.WithTimeout(ctx, w.config.wait+callSlack)
 	defer cancel()
-	page, err := w.config.log.Read(ctx, w.config.topic, crlplatform.KeyedRead{From: w.next, Wait: w.config.wait})
+	page, err := w.config.log.Read(ctx, w.config.topic, crlplatform.KeyedRead{From: from, Wait: w.config.wait})
 	var refused *crlplatform.Error
 	if errors.As(err, &refused) && refused.Trimmed {
-		w.config.lines.Event(EventHistoryLost, slog.String("topic", w.config.topic), slog.Int64("next", int64(w.next)))
-		w.begun = false
+		w.config.lines.Event(EventHistoryLost, slog.String("topic", w.config.topic), slog.Int64("next", int64(from)))
 		return w.bootstrap(ctx)
 	}
 	if err != nil {
 		return err
 	}
 	if len(page.Records) > 0 {
-		w.config.changed(page.Records)
-		w.next = page.Records[len(page.Records)-1].Offset + 1
+		from = page.Records[len(page.Records)-1].Offset + 1
+		w.config.replica.Apply(page.Records, from)
 	}
-	if w.next < page.End {
+	if from < page.End {
 		return nil // More records follow, so that nothing is proved yet.
 	}
 	// A read that the store held to its end shows that nothing changed while it was held.
 	if elapsed := w.config.now().Sub(sent); len(page.Records) == 0 && elapsed >= w.config.wait {
 		sent = sent.Add(w.config.wait)
 	}
-	w.config.proved(sent)
+	w.config.replica.Prove(sent)
 	return nil
 }
 
@@ -135,9 +137,8 @@
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	w.config.whole(records)
-	w.next, w.begun = end, true
-	w.config.proved(sent)
+	w.config.replica.Replace(records, end)
+	w.config.replica.Prove(sent)
 	return nil
 }
 
@@ -148,7 +149,7 @@
 	w.failed = w.config.now()
 	w.config.lost(true)
 	w.config.lines.Event(EventStoreLost,
-		slog.String("topic", w.config.topic), slog.String("cause", err.Error()), slog.Int64("next", int64(w.next)))
+		slog.String("topic", w.config.topic), slog.String("cause", err.Error()), slog.Int64("next", int64(w.config.replica.End())))
 }
 
 func (w *watch) noteRegained() {
@@ -156,7 +157,7 @@
 		return
 	}
 	w.config.lines.Event(EventStoreRegained, slog.String("topic", w.config.topic),
-		slog.Duration("lost-ms", w.config.now().Sub(w.failed)), slog.Int64("next", int64(w.next)))
+		slog.Duration("lost-ms", w.config.now().Sub(w.failed)), slog.Int64("next", int64(w.config.replica.End())))
 	w.failed = 0
 	w.config.lost(false)
 }
