Doubt lapsed entries by gaps of proof; know members by address

Change: each replica doubts dropped entries only after 2.5 s without proof from any source; a follower stays with a source that works; restarted daemons keep their place in the roster.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
 )
@@ -24,8 +25,10 @@
 const (
 	// FollowWait is how long a follower's call is held; a follower's proof is that much older than its reader's.
 	FollowWait = 500 * time.Millisecond
-	// pauseAfterFailure is the pause before the next source is tried.
+	// pauseAfterFailure is the pause before the next source is tried, and grows with each one in a row.
 	pauseAfterFailure = 50 * time.Millisecond
+	// returnAfter is how long a follower stays with a source that isn't its first one, about the length of an outage.
+	returnAfter = 10 * time.Second
 	// Readers is the number of daemons that read the store, two so that one may fail unnoticed.
 	Readers = 2
 )
@@ -35,13 +38,12 @@
 
 // FollowerConfig configures a Follower.
 type FollowerConfig struct {
-	Self      Member
-	Replicas  map[Topic]*Replica
-	Peers     Caller
-	Now       crlclock.Clock
-	Lines     *crllog.Logger
-	Fresh     map[Topic]time.Duration    // Fresh bounds the age of each topic's proof, beyond which another source is looked for.
-	Unsettled func(Topic, time.Duration) // Unsettled takes how much longer a missing record may come back.
+	Self     Member
+	Replicas map[Topic]*Replica
+	Peers    Caller
+	Now      crlclock.Clock
+	Lines    *crllog.Logger
+	Fresh    map[Topic]time.Duration // Fresh bounds the age of each topic's proof, beyond which another source is looked for.
 }
 
 // Follower keeps replicas in step with a reader's.
@@ -52,7 +54,10 @@
 	fresh   crlclock.Instant // fresh is the end of the time for which the proofs that came from peers are good enough, 0 at first.
 	source  Member
 	cursors map[Topic]Cursor
-	turn    int // turn counts the sources that were given up in a row.
+	// incarnation is the source's, that the cursors are of.
+	incarnation crlid.Incarnation
+	turn        int // turn counts the sources that were given up.
+	turned      crlclock.Instant
 }
 
 // NewFollower returns a follower that knows no other daemon.
@@ -85,7 +90,7 @@
 
 func (f *Follower) reader() bool {
 	for i, m := range f.roster.Members {
-		if i < Readers && m.Incarnation == f.config.Self.Incarnation {
+		if i < Readers && m.Address == f.config.Self.Address {
 			return true
 		}
 	}
@@ -102,10 +107,13 @@
 		}
 		if !f.follow(ctx, source) {
 			f.turn++
-			wait(ctx, pauseAfterFailure)
-			continue
+			f.turned = f.config.Now()
+			wait(ctx, min(pauseAfterFailure*time.Duration(f.turn), FollowWait))
+		}
+		// The first source is tried again after a while, as it may have recovered.
+		if f.config.Now().Sub(f.turned) > returnAfter {
+			f.turn = 0
 		}
-		f.turn = 0
 	}
 	return ctx.Err()
 }
@@ -123,7 +131,7 @@
 func (f *Follower) next() (Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.reader() && f.turn == 0 && f.ownFresh() > f.config.Now() {
+	if f.reader() && f.ownFresh() > f.config.Now() {
 		return Member{}, false // A reader whose own reads succeed needs no other.
 	}
 	type ranked struct {
@@ -133,10 +141,10 @@
 	}
 	var sources []ranked
 	for i, m := range f.roster.Members {
-		if m.Incarnation == f.config.Self.Incarnation {
+		if m.Address == f.config.Self.Address {
 			continue
 		}
-		r := ranked{member: m, hash: xxhash.Sum64String(string(m.Incarnation) + string(f.config.Self.Incarnation))}
+		r := ranked{member: m, hash: xxhash.Sum64String(m.Address + f.config.Self.Address)}
 		if i >= Readers {
 			r.rank = 2
 		} else if m.Domain != f.config.Self.Domain {
@@ -162,19 +170,20 @@
 
 // follow makes one call to a source and reports whether its proof is fresh.
 func (f *Follower) follow(ctx context.Context, source Member) bool {
-	if source.Incarnation != f.source.Incarnation {
-		f.source = source
+	if source.Address != f.source.Address {
+		f.source, f.incarnation = source, ""
 		clear(f.cursors)
 		f.config.Lines.Event(EventSource, slog.String("source", source.Address), slog.Int("given-up", f.turn))
 	}
 	var news News
 	asked := f.config.Now()
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, Follow{
-		Source: source.Incarnation, Cursors: f.cursors, Wait: Milliseconds(FollowWait.Milliseconds()), Roster: f.Roster().Generation,
+		Source: f.incarnation, Cursors: f.cursors, Wait: Milliseconds(FollowWait.Milliseconds()), Roster: f.Roster().Generation,
 	}, &news)
-	if err != nil || news.Source != source.Incarnation {
+	if err != nil {
 		return false
 	}
+	f.incarnation = news.Source // The source gives all it has to a follower that knows another incarnation.
 	if news.Roster != nil {
 		f.Learn(*news.Roster)
 	}
@@ -191,7 +200,6 @@
 	fresh := crlclock.Instant(math.MaxInt64)
 	for topic, replica := range f.config.Replicas {
 		t := news.Topics[topic]
-		f.config.Unsettled(topic, time.Duration(t.Unsettled)*time.Millisecond)
 		if t.Whole {
 			replica.Replace(t.Records, t.End)
 		} else {
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -29,19 +29,17 @@
 
 // TopicNews is what changed in one replica.
 type TopicNews struct {
-	Whole     bool                      `json:"whole"` // Whole is set when the records are all there are.
-	Records   []crlplatform.KeyedRecord `json:"records,omitempty"`
-	Cursor    Cursor                    `json:"cursor"`
-	End       crlid.Offset              `json:"end"`
-	Age       Milliseconds              `json:"age-ms"`       // Age is how long ago the replica was known to be complete, negative for never.
-	Unsettled Milliseconds              `json:"unsettled-ms"` // Unsettled is how much longer a missing record may still come back.
+	Whole   bool                      `json:"whole"` // Whole is set when the records are all there are.
+	Records []crlplatform.KeyedRecord `json:"records,omitempty"`
+	Cursor  Cursor                    `json:"cursor"`
+	End     crlid.Offset              `json:"end"`
+	Age     Milliseconds              `json:"age-ms"` // Age is how long ago the replica was known to be complete, negative for never.
 }
 
-// Member is one daemon of the roster.
+// Member is one daemon of the roster; a daemon that starts again at its address is the same member.
 type Member struct {
-	Incarnation crlid.Incarnation `json:"incarnation"`
-	Address     string            `json:"address"`
-	Domain      crlid.Domain      `json:"failure-domain"`
+	Address string       `json:"address"`
+	Domain  crlid.Domain `json:"failure-domain"`
 }
 
 // Roster lists the daemons of the group; the first ones read the store.
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -18,8 +19,12 @@
 
 // ReplicaConfig configures a Replica.
 type ReplicaConfig struct {
-	// Changed takes records that are new, in the order of the topic; it is called by one goroutine at a time.
-	Changed func(records []crlplatform.KeyedRecord)
+	// Changed takes records that are new, in the order of the topic, and until when keys that were dropped may come back
+	// because they lapsed in an outage; it is called by one goroutine at a time.
+	Changed func(records []crlplatform.KeyedRecord, unsettled crlclock.Instant)
+	Now     crlclock.Clock
+	Outage  time.Duration // Outage is the time without proof from which records may have lapsed, 0 for topics where none do.
+	Settle  time.Duration // Settle is how long after an outage lapsed records may come back.
 	// Same reports whether a record says nothing new against the one before, nil when every record does.
 	Same func(before, after crlplatform.KeyedRecord) bool
 }
@@ -32,6 +37,7 @@
 	newest  Cursor
 	end     crlid.Offset
 	proved  crlclock.Instant
+	settled crlclock.Instant // settled is the end of the doubt after the newest outage.
 	known   bool
 	news    chan struct{} // news is closed at the next change.
 }
@@ -93,7 +99,8 @@
 	if len(changed) == 0 {
 		return
 	}
-	r.config.Changed(changed)
+	r.noteGap(r.config.Now())
+	r.config.Changed(changed, r.settled)
 	close(r.news)
 	r.news = make(chan struct{})
 }
@@ -102,9 +109,17 @@
 func (r *Replica) Prove(at crlclock.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.noteGap(at)
 	r.proved = max(r.proved, at)
 }
 
+// noteGap begins the doubt when there was no proof for so long that records may have lapsed.
+func (r *Replica) noteGap(now crlclock.Instant) {
+	if r.config.Outage > 0 && now.Sub(r.proved) > r.config.Outage {
+		r.settled = now.Add(r.config.Settle)
+	}
+}
+
 // Proved returns the newest moment at which the replica is known to have been complete, 0 for never.
 func (r *Replica) Proved() crlclock.Instant {
 	r.mu.Lock()
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -13,11 +13,10 @@
 
 // ServerConfig configures a Server.
 type ServerConfig struct {
-	Self      crlid.Incarnation
-	Replicas  map[Topic]*Replica
-	Roster    func() Roster
-	Unsettled func(Topic) time.Duration // Unsettled returns how much longer a missing record of a topic may come back.
-	Now       crlclock.Clock
+	Self     crlid.Incarnation
+	Replicas map[Topic]*Replica
+	Roster   func() Roster
+	Now      crlclock.Clock
 }
 
 // Server answers followers.
@@ -47,7 +46,6 @@
 		}
 		news.Topics[topic] = TopicNews{
 			Whole: after == 0, Records: d.records, Cursor: d.newest, End: d.end, Age: age,
-			Unsettled: Milliseconds(s.config.Unsettled(topic).Milliseconds()),
 		}
 	}
 	if roster := s.config.Roster(); roster.Generation > f.Roster {
--- a/crlrouter/beliefs.go
+++ b/crlrouter/beliefs.go
@@ -51,7 +51,7 @@
 }
 
 // change takes orders in the order of the topic; the replica that calls it does so one at a time.
-func (o *orders) change(records []crlplatform.KeyedRecord) {
+func (o *orders) change(records []crlplatform.KeyedRecord, _ crlclock.Instant) {
 	for _, r := range records {
 		order, err := o.codec.DecodeOrder(r)
 		if err != nil {
--- a/crlrouter/members.go
+++ b/crlrouter/members.go
@@ -44,17 +44,17 @@
 
 // memberName encodes a member as the name under which it joins.
 func memberName(m crlrelay.Member) string {
-	return strings.Join([]string{m.Address, string(m.Domain), string(m.Incarnation)}, " ")
+	return m.Address + " " + string(m.Domain)
 }
 
 // parseMember decodes the name of a member; ok is false for names that no router made.
 func parseMember(name string) (member crlrelay.Member, ok bool) {
 	fields := strings.Fields(name)
-	const parts = 3
+	const parts = 2
 	if len(fields) != parts {
 		return crlrelay.Member{}, false
 	}
-	return crlrelay.Member{Address: fields[0], Domain: crlid.Domain(fields[1]), Incarnation: crlid.Incarnation(fields[2])}, true
+	return crlrelay.Member{Address: fields[0], Domain: crlid.Domain(fields[1])}, true
 }
 
 // run keeps the daemon in the group until ctx ends, and then leaves it.
--- a/crlrouter/rollouts.go
+++ b/crlrouter/rollouts.go
@@ -31,7 +31,7 @@
 }
 
 // take takes states that daemons wrote.
-func (p *reporter) take(records []crlplatform.KeyedRecord) {
+func (p *reporter) take(records []crlplatform.KeyedRecord, _ crlclock.Instant) {
 	for _, r := range records {
 		status, ok := p.codec.DecodeStatus(r)
 		if ok && p.rollouts.Status(status) {
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -62,6 +62,8 @@
 	service  *crlforward.Service
 	registry *prometheus.Registry
 	stop     chan struct{}
+
+	incarnation crlid.Incarnation
 }
 
 const (
@@ -77,12 +79,12 @@
 // New returns a router that has not begun to serve.
 func New(config Config) *Router {
 	s := config.Settings
-	r := &Router{config: config, registry: prometheus.NewRegistry(), stop: make(chan struct{})}
+	r := &Router{config: config, registry: prometheus.NewRegistry(), stop: make(chan struct{}), incarnation: crlid.NewIncarnation()}
 	r.peers = crlpeer.NewClient(crlpeer.ClientConfig{ConnectTimeout: peerConnect, CallTimeout: crlrelay.FollowWait + peerConnect})
 	r.replicas = make(map[crlrelay.Topic]*crlrelay.Replica)
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
-		Self:     crlrelay.Member{Incarnation: crlid.NewIncarnation(), Address: s.Peer, Domain: s.Domain},
-		Replicas: r.replicas, Peers: r.peers, Now: config.Clock, Lines: config.Lines, Unsettled: r.relayed,
+		Self:     crlrelay.Member{Address: s.Peer, Domain: s.Domain},
+		Replicas: r.replicas, Peers: r.peers, Now: config.Clock, Lines: config.Lines,
 		Fresh: map[crlrelay.Topic]time.Duration{
 			topicOrders: 2*ordersWait + relaySlack, topicServers: 2*serversPause + relaySlack, topicStatus: 2*statusWait + relaySlack,
 		},
@@ -103,9 +105,11 @@
 		codec: config.Codec, log: config.Log, topic: config.Topics.Status, rollouts: rollouts, fleet: r.fleet,
 		now: config.Clock, lines: config.Lines,
 	}
-	r.replicas[topicOrders] = crlrelay.NewReplica(crlrelay.ReplicaConfig{Changed: r.orders.change})
-	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{Changed: r.servers.change, Same: r.servers.same})
-	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{Changed: r.reporter.take})
+	r.replicas[topicOrders] = crlrelay.NewReplica(crlrelay.ReplicaConfig{Changed: r.orders.change, Now: config.Clock})
+	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{
+		Changed: r.servers.change, Same: r.servers.same, Now: config.Clock, Outage: outage, Settle: settle,
+	})
+	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{Changed: r.reporter.take, Now: config.Clock})
 	r.replicas[topicStatus] = r.reporter.replica
 	proofAge := longestProof
 	if s.Bounds.Revocation > 0 {
@@ -143,19 +147,6 @@
 	return crlforward.State{Table: r.orders.table.Load(), Proved: r.replicas[topicOrders].Proved()}
 }
 
-func (r *Router) relayed(topic crlrelay.Topic, unsettled time.Duration) {
-	if topic == topicServers {
-		r.servers.relayed(unsettled)
-	}
-}
-
-func (r *Router) unsettled(topic crlrelay.Topic) time.Duration {
-	if topic == topicServers {
-		return r.servers.unsettled()
-	}
-	return 0
-}
-
 const (
 	longestProof = time.Minute // longestProof is for deployments that don't bound revocations.
 	minInFlight  = 64          // minInFlight is for VMs whose memory is not stated.
@@ -191,7 +182,7 @@
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 	}
 	r.config.Lines.Event(EventStart, slog.String("daemon", string(s.Daemon)), slog.String("failure-domain", string(s.Domain)),
-		slog.String("incarnation", string(r.follower.Self().Incarnation)))
+		slog.String("incarnation", string(r.incarnation)))
 	var group run.Group
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -214,7 +205,7 @@
 	status := r.watch(watchConfig{topic: r.config.Topics.Status, replica: r.replicas[topicStatus], wait: statusWait})
 	orders := r.watch(watchConfig{topic: r.config.Topics.Orders, replica: r.replicas[topicOrders], wait: ordersWait})
 	servers := r.watch(watchConfig{
-		topic: r.config.Topics.Servers, replica: r.replicas[topicServers], pause: serversPause, lost: r.servers.setLost,
+		topic: r.config.Topics.Servers, replica: r.replicas[topicServers], pause: serversPause,
 	})
 	// States of roll-outs are known before the orders that they belong to.
 	ordersAfterStatus := func(ctx context.Context) error {
@@ -230,9 +221,6 @@
 
 func (r *Router) watch(config watchConfig) *watch {
 	config.log, config.now, config.lines, config.reads = r.config.Log, r.config.Clock, r.config.Lines, r.follower.Reads
-	if config.lost == nil {
-		config.lost = func(bool) {}
-	}
 	return newWatch(config)
 }
 
@@ -257,7 +245,7 @@
 	}
 	mux := crlpeer.NewMux()
 	mux.Register(crlrelay.MethodFollow, crlpeer.Typed(crlrelay.NewServer(crlrelay.ServerConfig{
-		Self: r.follower.Self().Incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Unsettled: r.unsettled, Now: r.config.Clock,
+		Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Now: r.config.Clock,
 	}).Follow))
 	group.Add(func() error { return mux.Serve(work, peers) }, func(error) { peers.Close() })
 	probe := &http.Server{Handler: r.probes(), ReadHeaderTimeout: probeTimeout}
--- a/crlrouter/servers.go
+++ b/crlrouter/servers.go
@@ -16,8 +16,12 @@
 // EventServer is logged when the belief about a backend server changes.
 const EventServer crllog.Event = "server"
 
-// settle is how long after an outage of the store a missing entry may still come back.
-const settle = 2200 * time.Millisecond
+const (
+	// settle is how long after an outage of the store a missing entry may still come back.
+	settle = 2200 * time.Millisecond
+	// outage is the time without proof from which entries may have lapsed for want of the store; servers write three times in it.
+	outage = 2500 * time.Millisecond
+)
 
 // servers keeps the fleet in step with the entries in the store.
 type servers struct {
@@ -28,41 +32,14 @@
 	mu    sync.Mutex // mu guards all below.
 	// doubtful holds servers whose entries lapsed around an outage, until they are back or the doubt ends.
 	doubtful map[crlid.Server]bool
-	lost     bool
 	trusted  crlclock.Instant // trusted is when a missing entry means again that its server is gone.
 }
 
-// setLost takes whether the store can't be read by this daemon, which reads it itself.
-func (s *servers) setLost(lost bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lost = lost
-	if !lost {
-		s.trusted = s.now().Add(settle)
-	}
-}
-
-// relayed takes from the daemon that this one follows how much longer a missing entry may come back.
-func (s *servers) relayed(unsettled time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lost = false
-	s.trusted = max(s.trusted, s.now().Add(unsettled))
-}
-
-// unsettled returns how much longer a missing entry may come back.
-func (s *servers) unsettled() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lost {
-		return settle
-	}
-	return max(s.trusted.Sub(s.now()), 0)
-}
-
-func (s *servers) change(records []crlplatform.KeyedRecord) {
+// change takes entries; until unsettled, one that was dropped may come back.
+func (s *servers) change(records []crlplatform.KeyedRecord, unsettled crlclock.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.trusted = unsettled
 	for _, r := range records {
 		id := crlid.Server(r.Key)
 		if r.Deleted {
@@ -91,7 +68,7 @@
 }
 
 func (s *servers) remove(id crlid.Server) {
-	if s.lost || s.now() < s.trusted {
+	if s.now() < s.trusted {
 		s.doubtful[id] = true
 		return
 	}
@@ -110,7 +87,7 @@
 func (s *servers) settle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lost || s.now() < s.trusted {
+	if s.now() < s.trusted {
 		return
 	}
 	for id := range s.doubtful {
--- a/crlrouter/watch.go
+++ b/crlrouter/watch.go
@@ -49,8 +49,6 @@
 	replica *crlrelay.Replica
 	// reads tells whether this daemon should read the store now, rather than follow another.
 	reads func() bool
-	// lost takes whether the topic can't be read.
-	lost func(lost bool)
 }
 
 // watch follows one topic of the store.
@@ -147,7 +145,6 @@
 		return
 	}
 	w.failed = w.config.now()
-	w.config.lost(true)
 	w.config.lines.Event(EventStoreLost,
 		slog.String("topic", w.config.topic), slog.String("cause", err.Error()), slog.Int64("next", int64(w.config.replica.End())))
 }
@@ -159,7 +156,6 @@
 	w.config.lines.Event(EventStoreRegained, slog.String("topic", w.config.topic),
 		slog.Duration("lost-ms", w.config.now().Sub(w.failed)), slog.Int64("next", int64(w.config.replica.End())))
 	w.failed = 0
-	w.config.lost(false)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
