Make the first step of a roll-out smaller the more daemons there are

Ruled out: cold servers, falls between versions within one request. Change: above 9 daemons the first step's share falls with their number.

--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -57,6 +57,9 @@
 	if len(x.trace.sends) > 0 {
 		attributes = append(attributes, slog.Any("sends", x.trace.sends))
 	}
+	if x.head.Session != "" {
+		attributes = append(attributes, slog.String("session", string(x.head.Session)))
+	}
 	if x.head.Prompt > 0 {
 		attributes = append(attributes, slog.Int64("prompt-tokens", int64(x.head.Prompt)), slog.Int("confidence", x.trace.confidence))
 	}
--- a/crlrollout/book.go
+++ b/crlrollout/book.go
@@ -66,16 +66,27 @@
 	answers int
 }
 
+// fewDaemons is the number of daemons up to which the first step is taken whole. Sessions move between daemons, so the
+// more there are, the more sessions would be taken from one version to the other by a daemon that doesn't know them; and
+// the more there are, the smaller a part of the requests is enough to judge a version.
+const fewDaemons = 9
+
+// Config configures a Book.
+type Config struct {
+	Daemons func() int // Daemons returns the number of daemons that share the work.
+}
+
 // Book holds the roll-outs of all services; it may be used by several goroutines.
 type Book struct {
+	config   Config
 	mu       sync.Mutex // mu guards rollouts and statuses.
 	rollouts map[crlid.Service]*rollout
 	statuses map[crlid.Service]Status
 }
 
 // NewBook returns a book without orders.
-func NewBook() *Book {
-	return &Book{rollouts: make(map[crlid.Service]*rollout), statuses: make(map[crlid.Service]Status)}
+func NewBook(config Config) *Book {
+	return &Book{config: config, rollouts: make(map[crlid.Service]*rollout), statuses: make(map[crlid.Service]Status)}
 }
 
 // Order takes an order; found is set when it stood in the topic before this daemon started.
@@ -161,10 +172,10 @@
 	if !ok {
 		return Plan{}
 	}
-	return r.plan(now, capacity)
+	return r.plan(now, capacity, b.config.Daemons())
 }
 
-func (r *rollout) plan(now crlclock.Instant, capacity Capacity) Plan {
+func (r *rollout) plan(now crlclock.Instant, capacity Capacity, daemons int) Plan {
 	p := Plan{Target: r.order.Target, Ordered: r.order.Offset}
 	switch {
 	case r.status.State == StateCompleted:
@@ -179,8 +190,8 @@
 				p.Share = s.share
 			}
 		}
-		if !r.enough(capacity) {
-			p.Share = min(p.Share, steps[0].share)
+		if p.Pinned || !r.enough(capacity) {
+			p.Share = steps[0].share * min(1, fewDaemons/float64(daemons))
 		}
 	}
 	return p
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -94,7 +94,7 @@
 		Domain: s.Domain, Share: r.members.share, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
 		Now: config.Clock, Log: logTransition(config.Lines),
 	})
-	rollouts := crlrollout.NewBook()
+	rollouts := crlrollout.NewBook(crlrollout.Config{Daemons: r.follower.Count})
 	r.orders = &orders{
 		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, lines: config.Lines, newest: crlid.NoOffset,
 	}
