Prove the configuration at once after an outage; test the router, its adapter and its log

Ruled out: retries, which are 0.9 s at most. Change: the first read after a failure is not held. An organisation's rank now goes before its route's at engines.

--- a/cmd/cranberrylock-router/main.go
+++ b/cmd/cranberrylock-router/main.go
@@ -65,7 +65,9 @@
 	go func() { written <- lines.Run(writing) }()
 	defer func() {
 		end()
-		<-written
+		if err := <-written; err != nil {
+			fmt.Fprintf(os.Stderr, "router: last log lines: %v\n", err)
+		}
 	}()
 	router := crlrouter.New(crlrouter.Config{
 		Settings: settings,
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -16,7 +16,6 @@
 type stream struct {
 	begun bool  // begun is set once the head of an answer went to the caller.
 	last  int64 // last is the newest event that the caller has.
-	runs  int   // runs counts the servers that gave part of the answer.
 }
 
 // eventBytes bounds one event of a stream.
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -129,12 +129,19 @@
 	return request.WithContext(ctx)
 }
 
+// leastUrgent is the last rank that servers know.
+const leastUrgent = 9
+
 // urgency ranks the request at its server: the organisation's rank goes before the route's.
 func (x *exchange) urgency() int {
 	if x.service.Slots == 0 {
 		return -1
 	}
-	return min(max(x.route.Priority, 0), 9)
+	rank := x.route.Priority
+	if x.caller.Ranked {
+		rank = x.caller.Priority
+	}
+	return min(max(rank, 0), leastUrgent)
 }
 
 // unanswered judges a send that got no head of an answer.
--- /dev/null
+++ b/crlforward/service_test.go
@@ -0,0 +1,413 @@
+package crlforward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlrollout"
+	"github.com/cranberrylock/cranberrylock/crlroute"
+)
+
+// dialect is a plain dialect of the tests' own.
+type dialect struct{}
+
+func (dialect) DecodeRequest(h http.Header) (Head, error) {
+	head := Head{Request: crlid.Request(h.Get("X-Request")), Key: h.Get("X-Key"), Prompt: 1000, Output: 100}
+	if head.Request == "" {
+		return head, errors.New("no request id")
+	}
+	if ms, err := strconv.Atoi(h.Get("X-Deadline")); err == nil {
+		head.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	if n, err := strconv.ParseInt(h.Get("X-After"), 10, 64); err == nil {
+		head.After, head.Resumes = n, true
+	}
+	return head, nil
+}
+
+func (dialect) EncodeAttempt(h http.Header, a Attempt) {
+	h.Del("X-Key")
+	h.Set("X-Server", string(a.Server))
+	h.Set("X-Organisation", string(a.Organisation))
+	h.Set("X-Model", string(a.Model))
+	h.Set("X-Deadline", fmt.Sprint(a.Deadline.Milliseconds()))
+	if a.Resumes {
+		h.Set("X-After", fmt.Sprint(a.After))
+	}
+}
+
+func (dialect) DecodeAnswer(status int, h http.Header) AnswerHead {
+	head := AnswerHead{Request: crlid.Request(h.Get("X-Request")), NotRun: h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest, Signed: h.Get("X-Signed") != "", Confidence: NoConfidence}
+	if n, err := strconv.Atoi(h.Get("X-Confidence")); err == nil {
+		head.Confidence = n
+	}
+	return head
+}
+
+func (dialect) RetryAfter(h http.Header, after time.Duration) {
+	h.Set("Retry-After", fmt.Sprint(after.Seconds()))
+}
+
+// backend plays the backend servers of a test: each send is answered by the next step of the script.
+type backend struct {
+	mu    sync.Mutex
+	steps []step
+	sent  []*http.Request
+	done  int // done counts sends whose context ended.
+}
+
+type step func(r *http.Request) (*http.Response, error)
+
+func (b *backend) RoundTrip(r *http.Request) (*http.Response, error) {
+	b.mu.Lock()
+	n := len(b.sent)
+	b.sent = append(b.sent, r)
+	b.mu.Unlock()
+	context.AfterFunc(r.Context(), func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.done++
+	})
+	if n >= len(b.steps) {
+		return nil, errors.New("the script expects no further send")
+	}
+	return b.steps[n](r)
+}
+
+func connect(r *http.Request) {
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+}
+
+// broken yields its content and then fails.
+type broken struct {
+	content io.Reader
+	err     error
+}
+
+func (b *broken) Read(p []byte) (int, error) {
+	n, err := b.content.Read(p)
+	if err != nil {
+		return n, b.err
+	}
+	return n, nil
+}
+
+var errReset = errors.New("connection reset by peer")
+
+func answer(r *http.Request, status int, header map[string]string, body io.Reader) *http.Response {
+	h := http.Header{"X-Request": {r.Header.Get("X-Request")}}
+	for name, value := range header {
+		h.Set(name, value)
+	}
+	return &http.Response{StatusCode: status, Header: h, Body: io.NopCloser(body), ContentLength: -1}
+}
+
+var signed = map[string]string{"X-Signed": "yes"}
+
+func whole(text string) step {
+	return func(r *http.Request) (*http.Response, error) {
+		connect(r)
+		return answer(r, http.StatusOK, signed, strings.NewReader(text)), nil
+	}
+}
+
+func fails(status int, header map[string]string) step {
+	return func(r *http.Request) (*http.Response, error) {
+		connect(r)
+		return answer(r, status, header, strings.NewReader("failure")), nil
+	}
+}
+
+func cut(text string) step {
+	return func(r *http.Request) (*http.Response, error) {
+		connect(r)
+		return answer(r, http.StatusOK, signed, &broken{strings.NewReader(text), errReset}), nil
+	}
+}
+
+func lost(r *http.Request) (*http.Response, error) {
+	connect(r)
+	return nil, errReset
+}
+
+func unreachable(*http.Request) (*http.Response, error) { return nil, errors.New("no route to host") }
+
+func hangs(r *http.Request) (*http.Response, error) {
+	connect(r)
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+func unsure(confidence int, text string) step {
+	return func(r *http.Request) (*http.Response, error) {
+		connect(r)
+		return answer(r, http.StatusOK, map[string]string{"X-Signed": "yes", "X-Confidence": fmt.Sprint(confidence)}, strings.NewReader(text)), nil
+	}
+}
+
+func events(from, to int) string {
+	var text strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&text, "id: %d\ndata: token\n\n", n)
+	}
+	return text.String()
+}
+
+type world struct {
+	service *Service
+	backend *backend
+	fleet   *crlfleet.Fleet
+	proved  crlclock.Instant
+	now     crlclock.Clock
+	log     *bytes.Buffer
+}
+
+func newWorld(steps ...step) *world {
+	w := &world{backend: &backend{steps: steps}, now: crlclock.NewMonotonic(), log: new(bytes.Buffer)}
+	w.proved = w.now()
+	w.fleet = crlfleet.New(crlfleet.Config{Domain: "near", Share: func() float64 { return 1 }, Now: w.now})
+	for n := range 4 {
+		w.fleet.Announce(crlfleet.Entry{
+			Server: crlid.Server(fmt.Sprint("s", n)), Service: "app", Address: fmt.Sprintf("10.0.0.%d:1", n), Domain: "near", Version: "v1",
+		}, w.now())
+	}
+	routes := []crlroute.Route{
+		{Name: "read", Host: "h", Prefix: "/read/", Kind: crlroute.KindIdempotent, Timeout: time.Second, Attempts: 2},
+		{Name: "file", Host: "h", Prefix: "/file/", Kind: crlroute.KindNonIdempotent, Timeout: time.Second, Attempts: 3},
+		{Name: "draft", Host: "h", Prefix: "/draft/", Kind: crlroute.KindStream, Timeout: 25 * time.Second, Attempts: 3, Resumable: true, Objective: 2 * time.Second, Models: []crlid.Model{"small", "middle", "large"}},
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: crlroute.KindStream, Timeout: 25 * time.Second, Attempts: 3, Models: []crlid.Model{"small", "large"}},
+		{Name: "open", Host: "h", Prefix: "/open/", Kind: crlroute.KindIdempotent, Timeout: time.Second, Attempts: 2, Open: true},
+	}
+	for i := range routes {
+		routes[i].Targets = []crlroute.Target{{Service: "app", Weight: 1}}
+	}
+	table := crlroute.NewTable(crlroute.TableConfig{
+		Routes: routes, Services: []crlroute.Service{{Name: "app"}}, Keyed: true,
+		Keys: map[string]crlroute.Organisation{"key": {Name: "firm"}}, Limits: crlroute.Limits{BodyBytes: 100},
+	})
+	w.service = New(Config{
+		Dialect: dialect{}, Fleet: w.fleet, Rollouts: crlrollout.NewBook(crlrollout.Config{Daemons: func() int { return 1 }}),
+		State:     func() State { return State{Table: table, Proved: w.proved} },
+		Retries:   crlbudget.NewRetry(crlbudget.RetryConfig{Ratio: 1, Slack: 50, Window: 10 * time.Second, Share: func() float64 { return 1 }}),
+		Transport: w.backend, Log: crllog.New(crllog.Config{Output: w.log}), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Now: w.now, ProofAge: 4500 * time.Millisecond, Session: 5 * time.Second, InFlight: 100,
+	})
+	return w
+}
+
+// call sends a request and returns the answer; aborted is set when the connection ended within the answer.
+func (w *world) call(ctx context.Context, path string, header map[string]string) (recorder *httptest.ResponseRecorder, aborted bool) {
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body")).WithContext(ctx)
+	r.RequestURI = path
+	r.Header.Set("X-Request", "r1")
+	r.Header.Set("X-Key", "key")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	recorder = httptest.NewRecorder()
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			if err, ok := recovered.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(recovered)
+			}
+			aborted = true
+		}
+	}()
+	w.service.ServeHTTP(recorder, r)
+	return recorder, false
+}
+
+// TestAnswers shows what callers get for each way in which servers answer.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		path    string
+		steps   []step
+		status  int
+		body    string
+		sends   int
+		aborted bool
+	}{
+		{"plain answer", "/file/1", []step{whole("done")}, 200, "done", 1, false},
+		{"filing whose answer is lost runs once", "/file/1", []step{lost}, 502, "", 1, false},
+		{"filing whose answer is cut runs once", "/file/1", []step{cut("do")}, 502, "", 1, false},
+		{"filing that a full server did not run", "/file/1", []step{fails(503, map[string]string{"X-Not-Run": "1"}), whole("done")}, 200, "done", 2, false},
+		{"filing at a server that moved", "/file/1", []step{fails(421, nil), whole("done")}, 200, "done", 2, false},
+		{"filing without a connection", "/file/1", []step{unreachable, whole("done")}, 200, "done", 2, false},
+		{"filing that all servers refuse has not run", "/file/1", []step{
+			fails(503, map[string]string{"X-Not-Run": "1"}), fails(503, map[string]string{"X-Not-Run": "1"}), fails(429, map[string]string{"X-Not-Run": "1"}),
+		}, 503, "", 3, false},
+		{"filing that failed keeps its status", "/file/1", []step{fails(500, signed)}, 500, "failure", 1, false},
+		{"filing refused after an unknown outcome", "/file/1", []step{unreachable, lost}, 502, "", 2, false},
+		{"lookup that failed is tried elsewhere", "/read/1", []step{fails(500, signed), whole("page")}, 200, "page", 2, false},
+		{"lookup that fails everywhere keeps the status", "/read/1", []step{fails(500, signed), fails(500, signed)}, 500, "failure", 2, false},
+		{"answer without a signature is no success", "/read/1", []step{fails(200, nil), whole("page")}, 200, "page", 2, false},
+		{"answer of another request", "/read/1", []step{fails(200, map[string]string{"X-Request": "r0", "X-Signed": "yes"}), whole("page")}, 200, "page", 2, false},
+		{"caller's error passes", "/file/1", []step{fails(400, signed)}, 400, "failure", 1, false},
+		{"stream", "/draft/1", []step{whole(events(1, 3))}, 200, events(1, 3), 1, false},
+		{"stream that broke goes on without gap or repeat", "/draft/1", []step{cut(events(1, 2) + "id: 3\nda"), whole(events(3, 5))}, 200, events(1, 5), 2, false},
+		{"server that repeats events", "/draft/1", []step{cut(events(1, 3)), whole(events(2, 5))}, 200, events(1, 5), 2, false},
+		{"server that leaves a gap", "/draft/1", []step{cut(events(1, 2)), whole(events(4, 5)), whole(events(3, 5))}, 200, events(1, 5), 3, false},
+		{"stream that may not be resumed does not look whole", "/once/1", []step{cut(events(1, 2))}, 200, events(1, 2), 1, true},
+		{"stream that breaks everywhere does not look whole", "/draft/1", []step{cut(events(1, 2)), cut(""), cut("")}, 200, events(1, 2), 3, true},
+		{"sure answer of the smallest model", "/draft/1", []step{unsure(90, events(1, 2))}, 200, events(1, 2), 1, false},
+		{"unsure answer is dropped for the largest model's", "/draft/1", []step{unsure(20, events(1, 1)), whole(events(1, 2))}, 200, events(1, 2), 2, false},
+		{"unsure answer that may not be repeated is kept", "/once/1", []step{unsure(20, events(1, 1))}, 200, events(1, 1), 1, false},
+		{"unknown path", "/none/1", nil, 404, "", 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(c.steps...)
+			got, aborted := w.call(t.Context(), c.path, nil)
+			if got.Code != c.status || c.body != "" && got.Body.String() != c.body || aborted != c.aborted {
+				t.Errorf("got %d %q (aborted %v), want %d %q (aborted %v)", got.Code, got.Body, aborted, c.status, c.body, c.aborted)
+			}
+			if len(w.backend.sent) != c.sends {
+				t.Errorf("%d sends, want %d", len(w.backend.sent), c.sends)
+			}
+			if got.Code == http.StatusServiceUnavailable && got.Header().Get("Retry-After") == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+		})
+	}
+}
+
+// TestSendsCarryWhatIsLeft shows what a server is told: its id, the organisation, the model, the events so far, the time left.
+func TestSendsCarryWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slowCut := func(r *http.Request) (*http.Response, error) {
+			time.Sleep(time.Second)
+			return cut(events(1, 2))(r)
+		}
+		w := newWorld(slowCut, whole(events(3, 4)))
+		w.call(t.Context(), "/draft/a%2Fb?q=%20", map[string]string{"X-Deadline": "9000", "X-Organisation": "forged"})
+		first, second := w.backend.sent[0], w.backend.sent[1]
+		if first.URL.RequestURI() != "/draft/a%2Fb?q=%20" || first.Header.Get("X-Organisation") != "firm" || first.Header.Get("X-Model") != "small" {
+			t.Errorf("sent %s with %v", first.URL.RequestURI(), first.Header)
+		}
+		if first.Header.Get("X-Server") == second.Header.Get("X-Server") {
+			t.Error("the stream goes on at the server that broke it")
+		}
+		if first.Header.Get("X-Deadline") != "9000" || second.Header.Get("X-Deadline") != "8000" || second.Header.Get("X-After") != "2" {
+			t.Errorf("second send has deadline %s after event %s", second.Header.Get("X-Deadline"), second.Header.Get("X-After"))
+		}
+		if first.GetBody != nil || first.Body == nil {
+			t.Error("net/http may send the body again by itself")
+		}
+	})
+}
+
+// TestFinalAnswerAtTheRoutesTimeout shows that the caller isn't held longer, and hears truly whether the request ran.
+func TestFinalAnswerAtTheRoutesTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(hangs)
+		began := time.Now()
+		got, _ := w.call(t.Context(), "/read/1", map[string]string{"X-Deadline": "5000"})
+		if took := time.Since(began); got.Code != http.StatusGatewayTimeout || took != time.Second {
+			t.Errorf("got %d after %s, want 504 after 1s", got.Code, took)
+		}
+	})
+}
+
+// TestCallerThatLeavesEndsTheSend shows that a server stops its work for a caller that left.
+func TestCallerThatLeavesEndsTheSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(hangs)
+		ctx, leave := context.WithCancel(t.Context())
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			leave()
+		}()
+		w.call(ctx, "/draft/1", nil)
+		synctest.Wait()
+		if w.backend.done != 1 || len(w.backend.sent) != 1 {
+			t.Errorf("%d of %d sends ended", w.backend.done, len(w.backend.sent))
+		}
+	})
+}
+
+// TestRefusalsBeforeTheFirstSend shows requests that no server sees.
+func TestRefusalsBeforeTheFirstSend(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		header map[string]string
+		change func(w *world)
+		status int
+	}{
+		{"unknown key", "/read/1", map[string]string{"X-Key": "other"}, nil, 401},
+		{"no key", "/read/1", map[string]string{"X-Key": ""}, nil, 401},
+		{"malformed", "/read/1", map[string]string{"X-Request": ""}, nil, 400},
+		{"proof too old", "/read/1", nil, func(w *world) { w.proved = w.now().Add(-5 * time.Second) }, 503},
+		{"no server", "/read/1", nil, func(w *world) { w.fleet.Evacuate("near", true) }, 503},
+		{"process ends", "/read/1", nil, func(w *world) { w.service.Close() }, 503},
+	} {
+		w := newWorld()
+		if c.change != nil {
+			c.change(w)
+		}
+		if got, _ := w.call(t.Context(), c.path, c.header); got.Code != c.status || len(w.backend.sent) != 0 {
+			t.Errorf("%s: got %d after %d sends, want %d", c.name, got.Code, len(w.backend.sent), c.status)
+		}
+	}
+}
+
+// TestOpenRoutesNeedNoProof shows that only keys can be taken away.
+func TestOpenRoutesNeedNoProof(t *testing.T) {
+	w := newWorld(whole("page"))
+	w.proved = w.now().Add(-time.Minute)
+	if got, _ := w.call(t.Context(), "/open/1", map[string]string{"X-Key": ""}); got.Code != http.StatusOK {
+		t.Errorf("got %d on an open route with an old proof", got.Code)
+	}
+}
+
+// TestBodyOverTheLimit shows 413 also for a body without a length.
+func TestBodyOverTheLimit(t *testing.T) {
+	for _, length := range []int64{101, -1} {
+		w := newWorld()
+		r := httptest.NewRequest(http.MethodPost, "http://h/read/1", strings.NewReader(strings.Repeat("x", 101)))
+		r.RequestURI, r.ContentLength = "/read/1", length
+		r.Header.Set("X-Request", "r1")
+		r.Header.Set("X-Key", "key")
+		recorder := httptest.NewRecorder()
+		w.service.ServeHTTP(recorder, r)
+		if recorder.Code != http.StatusRequestEntityTooLarge {
+			t.Errorf("length %d: got %d", length, recorder.Code)
+		}
+	}
+}
+
+// TestNoEscalationWithoutTime is the pattern of full engines: an answer in hand is worth more than a better one too late.
+func TestNoEscalationWithoutTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := func(r *http.Request) (*http.Response, error) {
+			time.Sleep(1900 * time.Millisecond)
+			return unsure(20, events(1, 2))(r)
+		}
+		w := newWorld(late)
+		got, _ := w.call(t.Context(), "/draft/1", nil)
+		if got.Code != http.StatusOK || got.Body.String() != events(1, 2) || len(w.backend.sent) != 1 {
+			t.Errorf("got %d %q after %d sends", got.Code, got.Body, len(w.backend.sent))
+		}
+	})
+}
--- a/crlrollout/book.go
+++ b/crlrollout/book.go
@@ -57,13 +57,12 @@
 
 // rollout is what a book knows of one order.
 type rollout struct {
-	order   Order
-	began   crlclock.Instant
-	status  Status
-	target  tally
-	old     tally
-	bad     bool
-	answers int
+	order  Order
+	began  crlclock.Instant
+	status Status
+	target tally
+	old    tally
+	bad    bool
 }
 
 // fewDaemons is the number of daemons up to which the first step is taken whole. Sessions move between daemons, so the
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -44,7 +44,8 @@
 	Codec    Codec
 	Dialect  crlforward.Dialect
 	Lines    *crllog.Logger
-	Clock    crlclock.Clock // Clock counts ages of proofs, also while the machine is suspended.
+	Peers    crlrelay.Caller // Peers calls other routers; nil for TCP.
+	Clock    crlclock.Clock  // Clock counts ages of proofs, also while the machine is suspended.
 	Reload   func() (*Settings, error)
 }
 
@@ -57,7 +58,6 @@
 	members  *members
 	follower *crlrelay.Follower
 	replicas map[crlrelay.Topic]*crlrelay.Replica
-	peers    *crlpeer.Client
 	fleet    *crlfleet.Fleet
 	service  *crlforward.Service
 	registry *prometheus.Registry
@@ -80,11 +80,13 @@
 func New(config Config) *Router {
 	s := config.Settings
 	r := &Router{config: config, registry: prometheus.NewRegistry(), stop: make(chan struct{}), incarnation: crlid.NewIncarnation()}
-	r.peers = crlpeer.NewClient(crlpeer.ClientConfig{ConnectTimeout: peerConnect, CallTimeout: crlrelay.FollowWait + peerConnect})
+	if config.Peers == nil {
+		config.Peers = crlpeer.NewClient(crlpeer.ClientConfig{ConnectTimeout: peerConnect, CallTimeout: crlrelay.FollowWait + peerConnect})
+	}
 	r.replicas = make(map[crlrelay.Topic]*crlrelay.Replica)
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
 		Self:     crlrelay.Member{Address: s.Peer, Domain: s.Domain},
-		Replicas: r.replicas, Peers: r.peers, Now: config.Clock, Lines: config.Lines,
+		Replicas: r.replicas, Peers: config.Peers, Now: config.Clock, Lines: config.Lines,
 		Fresh: map[crlrelay.Topic]time.Duration{
 			topicOrders: 2*ordersWait + relaySlack, topicServers: 2*serversPause + relaySlack, topicStatus: 2*statusWait + relaySlack,
 		},
@@ -186,7 +188,7 @@
 	var group run.Group
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	for _, task := range r.tasks() {
+	for _, task := range append(r.tasks(), r.reload) {
 		group.Add(func() error { return task(work) }, func(error) { cancel() })
 	}
 	if err := r.listen(ctx, work, &group); err != nil {
@@ -215,7 +217,7 @@
 		return orders.run(ctx)
 	}
 	return []func(context.Context) error{
-		status.run, ordersAfterStatus, servers.run, r.servers.run, r.reporter.run, r.members.run, r.follower.Run, r.reload,
+		status.run, ordersAfterStatus, servers.run, r.servers.run, r.reporter.run, r.members.run, r.follower.Run,
 	}
 }
 
@@ -247,12 +249,12 @@
 	mux.Register(crlrelay.MethodFollow, crlpeer.Typed(crlrelay.NewServer(crlrelay.ServerConfig{
 		Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Now: r.config.Clock,
 	}).Follow))
-	group.Add(func() error { return mux.Serve(work, peers) }, func(error) { peers.Close() })
+	group.Add(func() error { return mux.Serve(work, peers) }, func(error) { _ = peers.Close() })
 	probe := &http.Server{Handler: r.probes(), ReadHeaderTimeout: probeTimeout}
-	group.Add(func() error { return probe.Serve(readiness) }, func(error) { probe.Close() })
-	group.Add(func() error { return probe.Serve(metrics) }, func(error) { probe.Close() })
+	group.Add(func() error { return probe.Serve(readiness) }, func(error) { _ = probe.Close() })
+	group.Add(func() error { return probe.Serve(metrics) }, func(error) { _ = probe.Close() })
 	callers := &http.Server{Handler: r.service}
-	group.Add(func() error { return r.serve(work, callers, front) }, func(error) { callers.Close() })
+	group.Add(func() error { return r.serve(work, callers, front) }, func(error) { _ = callers.Close() })
 	group.Add(func() error { return r.drain(ctx, callers) }, func(error) { close(r.stop) })
 	return nil
 }
--- /dev/null
+++ b/crlrouter/router_test.go
@@ -0,0 +1,276 @@
+package crlrouter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpeer"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
+	"github.com/cranberrylock/cranberrylock/crlrollout"
+	"github.com/cranberrylock/cranberrylock/crlroute"
+)
+
+// codec reads the plain records of the tests: "config" holds a version, "rollout" a target, other keys name domains.
+type codec struct{}
+
+func (codec) DecodeOrder(r crlplatform.KeyedRecord) (Order, error) {
+	order := Order{Offset: r.Offset, Withdrawn: r.Deleted}
+	switch r.Key {
+	case "config":
+		var version int64
+		if err := json.Unmarshal(r.Value, &version); err != nil {
+			return Order{}, fmt.Errorf("decode configuration: %w", err)
+		}
+		order.Table = crlroute.NewTable(crlroute.TableConfig{Version: version})
+	case "rollout":
+		order.Rollout = &crlrollout.Order{Service: "s", Target: crlid.Version(r.Value), Over: 20 * time.Second, Offset: r.Offset}
+	default:
+		order.Evacuated = crlid.Domain(r.Key)
+	}
+	return order, nil
+}
+
+func (codec) DecodeServer(r crlplatform.KeyedRecord) (crlfleet.Entry, error) {
+	if string(r.Value) == "torn" {
+		return crlfleet.Entry{}, errors.New("torn")
+	}
+	return crlfleet.Entry{Server: crlid.Server(r.Key), Service: "s", Version: crlid.Version(r.Value), Domain: "near"}, nil
+}
+
+func (codec) DecodeStatus(r crlplatform.KeyedRecord) (crlrollout.Status, bool) {
+	state, err := crlrollout.StateString(string(r.Value))
+	return crlrollout.Status{Service: "s", Target: "v2", State: state, Offset: r.Offset}, err == nil
+}
+
+func (codec) EncodeStatus(s crlrollout.Status) (crlplatform.KeyedRecord, error) {
+	return crlplatform.KeyedRecord{Key: string(s.Service), Value: []byte(s.State.String())}, nil
+}
+
+// peers carries calls between the routers of a test.
+type peers struct {
+	mu      sync.Mutex
+	servers map[string]*crlrelay.Server
+}
+
+func (p *peers) Call(ctx context.Context, address string, _ crlpeer.Method, params, result any) error {
+	p.mu.Lock()
+	server, ok := p.servers[address]
+	p.mu.Unlock()
+	if !ok {
+		return errors.New("no such peer")
+	}
+	time.Sleep(time.Millisecond)
+	news, err := server.Follow(ctx, params.(crlrelay.Follow))
+	*result.(*crlrelay.News) = news
+	return err
+}
+
+// testRouters runs the knowledge of routers on one store, without their listeners.
+func testRouters(ctx context.Context, store *memoryLog, count int) []*Router {
+	network := &peers{servers: make(map[string]*crlrelay.Server)}
+	clock := crlclock.NewMonotonic()
+	var routers []*Router
+	for n := range count {
+		address := fmt.Sprintf("10.0.0.%d:1", n)
+		r := New(Config{
+			Settings: &Settings{Daemon: crlid.Daemon(address), Domain: "near", Peer: address, Bounds: Bounds{RetryWindow: 10 * time.Second}},
+			Log:      store, Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"}, Codec: codec{}, Peers: network,
+			Lines: crllog.New(crllog.Config{Output: io.Discard}), Clock: clock,
+			Reload: func() (*Settings, error) { return nil, errors.New("no file") },
+		})
+		network.servers[address] = crlrelay.NewServer(crlrelay.ServerConfig{
+			Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Now: clock,
+		})
+		routers = append(routers, r)
+		for _, task := range r.tasks() {
+			go func() { _ = task(ctx) }()
+		}
+	}
+	return routers
+}
+
+// world runs routers in virtual time until the test ends.
+func world(t *testing.T, count int, test func(store *memoryLog, routers []*Router)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryLog()
+		store.put("orders", "config", "1")
+		ctx, cancel := context.WithCancel(t.Context())
+		routers := testRouters(ctx, store, count)
+		time.Sleep(5 * time.Second)
+		test(store, routers)
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+func version(r *Router) int64 {
+	if table := r.state().Table; table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+func picks(r *Router) error {
+	all := func(crlid.Version) bool { return true }
+	p, err := r.fleet.Pick(crlfleet.Need{Service: "s", Allows: all, Prefers: all})
+	if err == nil {
+		p.Done(crlfleet.Result{})
+	}
+	return err
+}
+
+// TestConfigurationIsInForceEverywhere bounds the time to a new configuration by the deployments' two seconds.
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	world(t, 6, func(store *memoryLog, routers []*Router) {
+		for want := int64(2); want < 20; want++ {
+			store.put("orders", "config", fmt.Sprint(want))
+			time.Sleep(500 * time.Millisecond)
+			for i, r := range routers {
+				if got := version(r); got != want {
+					t.Errorf("router %d is at %d half a second after %d was accepted", i, got, want)
+				}
+			}
+		}
+	})
+}
+
+// TestFewReadTheStore bounds the calls to the store: two readers, whatever the number of routers.
+func TestFewReadTheStore(t *testing.T) {
+	reads := func(count int) (n int) {
+		world(t, count, func(store *memoryLog, _ []*Router) {
+			before := store.reads
+			time.Sleep(20 * time.Second)
+			n = store.reads - before
+		})
+		return n
+	}
+	few, many := reads(3), reads(30)
+	if float64(many) > 1.2*float64(few) {
+		t.Errorf("%d reads by 3 routers and %d by 30", few, many)
+	}
+}
+
+// TestBadConfigurationKeepsTheOneInForce shows records that can't be read, and older versions that come late.
+func TestBadConfigurationKeepsTheOneInForce(t *testing.T) {
+	world(t, 2, func(store *memoryLog, routers []*Router) {
+		store.put("orders", "config", "5")
+		store.put("orders", "config", "torn")
+		store.put("orders", "config", "4")
+		time.Sleep(time.Second)
+		for i, r := range routers {
+			if got := version(r); got != 5 {
+				t.Errorf("router %d is at %d", i, got)
+			}
+		}
+	})
+}
+
+// TestHistoryThatIsGone shows that changes are not missed when the store drops its history meanwhile.
+func TestHistoryThatIsGone(t *testing.T) {
+	world(t, 3, func(store *memoryLog, routers []*Router) {
+		store.put("servers", "i-1", "v1")
+		time.Sleep(2 * time.Second)
+		store.setDown(true)
+		time.Sleep(time.Second)
+		store.put("servers", "i-1", "")
+		store.put("servers", "i-2", "v1")
+		store.put("orders", "config", "2")
+		store.put("orders", "near", "out")
+		store.forget("servers")
+		store.forget("orders")
+		store.setDown(false)
+		time.Sleep(2 * time.Second)
+		for i, r := range routers {
+			if version(r) != 2 || picks(r) == nil {
+				t.Errorf("router %d is at %d and picks servers of an evacuated domain: %v", i, version(r), picks(r) == nil)
+			}
+		}
+		store.put("orders", "near", "")
+		time.Sleep(3 * time.Second)
+		for i, r := range routers {
+			if got := fmt.Sprint(r.fleet.Servers()); got != "[i-2]" || picks(r) != nil {
+				t.Errorf("router %d knows %s, %v", i, got, picks(r))
+			}
+		}
+	})
+}
+
+// TestServersThatLapseInAnOutage shows the two seconds in which a lapsed entry may come back.
+func TestServersThatLapseInAnOutage(t *testing.T) {
+	world(t, 3, func(store *memoryLog, routers []*Router) {
+		store.put("servers", "i-1", "v1")
+		time.Sleep(2 * time.Second)
+		store.setDown(true)
+		time.Sleep(5 * time.Second)
+		store.put("servers", "i-1", "")
+		store.setDown(false)
+		time.Sleep(time.Second)
+		for i, r := range routers {
+			if err := picks(r); err != nil {
+				t.Errorf("router %d gave a server up one second after an outage: %v", i, err)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for i, r := range routers {
+			if picks(r) == nil {
+				t.Errorf("router %d still uses a server four seconds after an outage", i)
+			}
+		}
+	})
+}
+
+// TestProofAgesInAnOutage shows what makes routers refuse keyed work: the proof is as old as the outage, not newer.
+func TestProofAgesInAnOutage(t *testing.T) {
+	world(t, 3, func(store *memoryLog, routers []*Router) {
+		store.setDown(true)
+		time.Sleep(6 * time.Second)
+		for i, r := range routers {
+			if age := r.config.Clock().Sub(r.state().Proved); age < 5*time.Second {
+				t.Errorf("router %d holds a proof of %s six seconds into an outage", i, age)
+			}
+		}
+		store.setDown(false)
+		time.Sleep(2 * time.Second)
+		for i, r := range routers {
+			if age := r.config.Clock().Sub(r.state().Proved); age > 3*time.Second {
+				t.Errorf("router %d holds a proof of %s two seconds after an outage", i, age)
+			}
+		}
+	})
+}
+
+// TestRolloutIsReportedOnce shows six routers that follow a roll-out to its end, and a late write that is refused.
+func TestRolloutIsReportedOnce(t *testing.T) {
+	world(t, 6, func(store *memoryLog, _ []*Router) {
+		store.put("servers", "i-1", "v1")
+		store.put("servers", "i-2", "v2")
+		at := crlid.Offset(0)
+		store.put("orders", "rollout", "v2")
+		time.Sleep(19 * time.Second)
+		var states []string
+		for _, r := range store.topics["status"] {
+			states = append(states, string(r.Value))
+		}
+		if got := strings.Join(states, " "); got != "running completed" {
+			t.Errorf("states written: %s", got)
+		}
+		late := crlplatform.KeyedRecord{Key: "s", Value: []byte("rolled-back")}
+		var conflict *crlplatform.Conflict
+		if _, err := store.AppendAt(t.Context(), "status", late, at); !errors.As(err, &conflict) {
+			t.Errorf("a write that lands late is taken: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/crlrouter/store_test.go
@@ -0,0 +1,149 @@
+package crlrouter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+)
+
+// memoryLog is a store in memory that several routers of a test share.
+type memoryLog struct {
+	mu      sync.Mutex
+	topics  map[string][]crlplatform.KeyedRecord
+	first   map[string]crlid.Offset // first is the oldest offset that reads still find.
+	members []string
+	joins   int64
+	reads   int
+	down    bool
+	news    chan struct{}
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{
+		topics: make(map[string][]crlplatform.KeyedRecord), first: make(map[string]crlid.Offset), news: make(chan struct{}),
+	}
+}
+
+var errDown = errors.New("store is down")
+
+func (m *memoryLog) put(topic, key, value string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.append(topic, crlplatform.KeyedRecord{Key: key, Value: []byte(value), Deleted: value == ""})
+}
+
+func (m *memoryLog) append(topic string, record crlplatform.KeyedRecord) crlid.Offset {
+	record.Offset = crlid.Offset(len(m.topics[topic]))
+	m.topics[topic] = append(m.topics[topic], record)
+	close(m.news)
+	m.news = make(chan struct{})
+	return record.Offset
+}
+
+// forget drops the history of a topic; the newest record of each key is kept.
+func (m *memoryLog) forget(topic string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.first[topic] = crlid.Offset(len(m.topics[topic]))
+}
+
+func (m *memoryLog) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+	close(m.news) // Calls that are held fail too.
+	m.news = make(chan struct{})
+}
+
+func (m *memoryLog) Newest(_ context.Context, topic, _ string) (crlplatform.KeyedPage, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	if m.down {
+		return crlplatform.KeyedPage{}, false, errDown
+	}
+	newest := make(map[string]crlplatform.KeyedRecord)
+	for _, r := range m.topics[topic] {
+		newest[r.Key] = r
+	}
+	page := crlplatform.KeyedPage{End: crlid.Offset(len(m.topics[topic]))}
+	for _, r := range newest {
+		if !r.Deleted {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, false, nil
+}
+
+func (m *memoryLog) Read(ctx context.Context, topic string, read crlplatform.KeyedRead) (crlplatform.KeyedPage, error) {
+	deadline := time.NewTimer(read.Wait)
+	defer deadline.Stop()
+	for {
+		m.mu.Lock()
+		m.reads++
+		records, news, down, first := m.topics[topic], m.news, m.down, m.first[topic]
+		m.mu.Unlock()
+		if down {
+			return crlplatform.KeyedPage{}, errDown
+		}
+		if read.From < first {
+			return crlplatform.KeyedPage{}, &crlplatform.Error{Service: "store", Status: http.StatusGone, Trimmed: true}
+		}
+		page := crlplatform.KeyedPage{Records: records[read.From:], End: crlid.Offset(len(records))}
+		if len(page.Records) > 0 {
+			return page, nil
+		}
+		select {
+		case <-news:
+		case <-deadline.C:
+			return page, nil
+		case <-ctx.Done():
+			return crlplatform.KeyedPage{}, ctx.Err()
+		}
+	}
+}
+
+func (m *memoryLog) AppendAt(_ context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Offset) (crlid.Offset, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return 0, errDown
+	}
+	if end := crlid.Offset(len(m.topics[topic])); end != at {
+		return 0, &crlplatform.Conflict{End: end}
+	}
+	return m.append(topic, record) + 1, nil
+}
+
+func (m *memoryLog) Join(_ context.Context, join crlplatform.Join) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return 0, errDown
+	}
+	for _, member := range m.members {
+		if member == join.Member {
+			return m.joins, nil
+		}
+	}
+	m.members = append(m.members, join.Member)
+	m.joins++
+	return m.joins, nil
+}
+
+func (m *memoryLog) Leave(context.Context, string, string) error { return nil }
+
+func (m *memoryLog) Owners(context.Context, string) ([]crlplatform.Owner, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var owners []crlplatform.Owner
+	for i, member := range m.members {
+		owners = append(owners, crlplatform.Owner{Partition: i, Member: member})
+	}
+	return owners, nil
+}
--- a/crlrouter/watch.go
+++ b/crlrouter/watch.go
@@ -87,10 +87,13 @@
 	if !w.config.replica.Known() {
 		return w.bootstrap(ctx)
 	}
-	from, sent := w.config.replica.End(), w.config.now()
-	ctx, cancel := context.WithTimeout(ctx, w.config.wait+callSlack)
+	from, sent, wait := w.config.replica.End(), w.config.now(), w.config.wait
+	if w.failed != 0 {
+		wait = 0 // The first proof after an outage is needed at once.
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
-	page, err := w.config.log.Read(ctx, w.config.topic, crlplatform.KeyedRead{From: from, Wait: w.config.wait})
+	page, err := w.config.log.Read(ctx, w.config.topic, crlplatform.KeyedRead{From: from, Wait: wait})
 	var refused *crlplatform.Error
 	if errors.As(err, &refused) && refused.Trimmed {
 		w.config.lines.Event(EventHistoryLost, slog.String("topic", w.config.topic), slog.Int64("next", int64(from)))
@@ -107,8 +110,8 @@
 		return nil // More records follow, so that nothing is proved yet.
 	}
 	// A read that the store held to its end shows that nothing changed while it was held.
-	if elapsed := w.config.now().Sub(sent); len(page.Records) == 0 && elapsed >= w.config.wait {
-		sent = sent.Add(w.config.wait)
+	if elapsed := w.config.now().Sub(sent); len(page.Records) == 0 && elapsed >= wait {
+		sent = sent.Add(wait)
 	}
 	w.config.replica.Prove(sent)
 	return nil
