Leave a refused reader before its gap of proof looks like an outage

Test first: TestServerLeavesWhileAReaderIsRefused failed for 19 of 26 moments. Change: proofs of entries are fresh for 1.7 s (2.4 before), orders 2.5 s (4.0); a reader whose reads fail asks others at once.

--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -52,7 +52,7 @@
 }
 
 const (
-	crossDomain = 0.004 // crossDomain is the extra cost of a server in another failure domain: a round trip, in seconds.
+	crossDomain = 0.03 // crossDomain is the extra cost of a server in another failure domain: a round trip, in seconds.
 	spread      = 0.01  // spread is the random part of a score in seconds, so that daemons with equal views differ.
 	waitMemory  = 0.7   // waitMemory is the time in seconds after which a wait that was seen counts by a factor of e less.
 )
--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -27,6 +27,8 @@
 	FollowWait = 500 * time.Millisecond
 	// pauseAfterFailure is the pause before the next source is tried, and grows with each one in a row.
 	pauseAfterFailure = 50 * time.Millisecond
+	// idlePeriod is how often a reader looks whether it needs a source after all.
+	idlePeriod = 200 * time.Millisecond
 	// returnAfter is how long a follower stays with a source that isn't its first one, about the length of an outage.
 	returnAfter = 10 * time.Second
 	// Readers is the number of daemons that read the store, two so that one may fail unnoticed.
@@ -43,6 +45,7 @@
 	Peers    Caller
 	Now      crlclock.Clock
 	Lines    *crllog.Logger
+	Failing  func() bool             // Failing reports whether this daemon's own reads of the store fail.
 	Fresh    map[Topic]time.Duration // Fresh bounds the age of each topic's proof, beyond which another source is looked for.
 }
 
@@ -102,7 +105,7 @@
 	for ctx.Err() == nil {
 		source, ok := f.next()
 		if !ok {
-			wait(ctx, FollowWait)
+			wait(ctx, idlePeriod)
 			continue
 		}
 		if !f.follow(ctx, source) {
@@ -131,7 +134,7 @@
 func (f *Follower) next() (Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.reader() && f.ownFresh() > f.config.Now() {
+	if f.reader() && f.ownFresh() > f.config.Now() && !f.config.Failing() {
 		return Member{}, false // A reader whose own reads succeed needs no other.
 	}
 	type ranked struct {
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -81,6 +81,7 @@
 	f := NewFollower(FollowerConfig{
 		Self: Member{Address: address}, Replicas: map[Topic]*Replica{testTopic: d.replica}, Peers: n, Now: d.now,
 		Lines: crllog.New(crllog.Config{Output: io.Discard}), Fresh: map[Topic]time.Duration{testTopic: 2 * time.Second},
+		Failing: func() bool { return false },
 	})
 	roster := Roster{Generation: 1}
 	for _, m := range members {
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,7 @@
 	stop     chan struct{}
 
 	incarnation crlid.Incarnation
+	failing     atomic.Int32 // failing counts the topics that this daemon can't read.
 }
 
 const (
@@ -87,8 +89,9 @@
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
 		Self:     crlrelay.Member{Address: s.Peer, Domain: s.Domain},
 		Replicas: r.replicas, Peers: config.Peers, Now: config.Clock, Lines: config.Lines,
+		Failing: func() bool { return r.failing.Load() > 0 },
 		Fresh: map[crlrelay.Topic]time.Duration{
-			topicOrders: 2*ordersWait + relaySlack, topicServers: 2*serversPause + relaySlack, topicStatus: 2*statusWait + relaySlack,
+			topicOrders: ordersWait + relaySlack, topicServers: serversPause + relaySlack, topicStatus: 2*statusWait + relaySlack,
 		},
 	})
 	r.members = &members{log: config.Log, follower: r.follower, lines: config.Lines}
@@ -137,9 +140,9 @@
 	topicStatus  crlrelay.Topic = "status"
 )
 
-// relaySlack is how much older than at its reader a proof may be, with one call that failed. A reader's own proof grows as
-// old as two reads when it has just begun to read.
-const relaySlack = 2 * crlrelay.FollowWait
+// relaySlack is how much older than at its reader a proof may be, with calls that take their time. With it a follower leaves
+// a reader that the store refuses well before the gap in its proof looks like an outage.
+const relaySlack = 2 * crlrelay.FollowWait // 1 s
 
 // peerConnect bounds opening a connection to another router, many times the round trip between failure domains.
 const peerConnect = 400 * time.Millisecond
@@ -223,6 +226,7 @@
 
 func (r *Router) watch(config watchConfig) *watch {
 	config.log, config.now, config.lines, config.reads = r.config.Log, r.config.Clock, r.config.Lines, r.follower.Reads
+	config.failing = &r.failing
 	return newWatch(config)
 }
 
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -80,6 +80,7 @@
 
 // testRouters runs the knowledge of routers on one store, without their listeners.
 func testRouters(ctx context.Context, store *memoryLog, count int) []*Router {
+	store.views = make([]*view, count)
 	network := &peers{servers: make(map[string]*crlrelay.Server)}
 	clock := crlclock.NewMonotonic()
 	var routers []*Router
@@ -87,13 +88,15 @@
 		address := fmt.Sprintf("10.0.0.%d:1", n)
 		r := New(Config{
 			Settings: &Settings{Daemon: crlid.Daemon(address), Domain: "near", Peer: address, Bounds: Bounds{RetryWindow: 10 * time.Second}},
-			Log:      store, Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"}, Codec: codec{}, Peers: network,
+			Log:      store.view(n), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"}, Codec: codec{}, Peers: network,
 			Lines: crllog.New(crllog.Config{Output: io.Discard}), Clock: clock,
 			Reload: func() (*Settings, error) { return nil, errors.New("no file") },
 		})
+		network.mu.Lock()
 		network.servers[address] = crlrelay.NewServer(crlrelay.ServerConfig{
 			Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Now: clock,
 		})
+		network.mu.Unlock()
 		routers = append(routers, r)
 		for _, task := range r.tasks() {
 			go func() { _ = task(ctx) }()
@@ -232,6 +235,28 @@
 	})
 }
 
+// TestServerLeavesWhileAReaderIsRefused is the pattern of a store that turns one reader away: those that follow it must
+// drop a server that leaves within the two seconds of the deployments (DRAIN, rca-plata scale-2).
+func TestServerLeavesWhileAReaderIsRefused(t *testing.T) {
+	for _, refused := range []int{0, 1} {
+		for after := 100 * time.Millisecond; after < 4*time.Second; after += 300 * time.Millisecond {
+			world(t, 6, func(store *memoryLog, routers []*Router) {
+				store.put("servers", "i-1", "v1")
+				time.Sleep(2 * time.Second)
+				store.views[refused].refuse.Store(true)
+				time.Sleep(after)
+				store.put("servers", "i-1", "")
+				time.Sleep(1900 * time.Millisecond)
+				for i, r := range routers {
+					if picks(r) == nil {
+						t.Errorf("reader %d refused, server left %s later: router %d still uses it after 1.9 s", refused, after, i)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestProofAgesInAnOutage shows what makes routers refuse keyed work: the proof is as old as the outage, not newer.
 func TestProofAgesInAnOutage(t *testing.T) {
 	world(t, 3, func(store *memoryLog, routers []*Router) {
--- a/crlrouter/store_test.go
+++ b/crlrouter/store_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -21,6 +22,41 @@
 	reads   int
 	down    bool
 	news    chan struct{}
+	views   []*view
+}
+
+// view is the store as one router sees it.
+type view struct {
+	*memoryLog
+	refuse atomic.Bool
+}
+
+func (m *memoryLog) view(n int) *view {
+	m.views[n] = &view{memoryLog: m}
+	return m.views[n]
+}
+
+var errRefused = &crlplatform.Error{Service: "store", Status: http.StatusTooManyRequests}
+
+func (v *view) Newest(ctx context.Context, topic, after string) (crlplatform.KeyedPage, bool, error) {
+	if v.refuse.Load() {
+		return crlplatform.KeyedPage{}, false, errRefused
+	}
+	return v.memoryLog.Newest(ctx, topic, after)
+}
+
+func (v *view) Read(ctx context.Context, topic string, read crlplatform.KeyedRead) (crlplatform.KeyedPage, error) {
+	if v.refuse.Load() {
+		return crlplatform.KeyedPage{}, errRefused
+	}
+	return v.memoryLog.Read(ctx, topic, read)
+}
+
+func (v *view) Join(ctx context.Context, join crlplatform.Join) (int64, error) {
+	if v.refuse.Load() {
+		return 0, errRefused
+	}
+	return v.memoryLog.Join(ctx, join)
 }
 
 func newMemoryLog() *memoryLog {
--- a/crlrouter/watch.go
+++ b/crlrouter/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -49,6 +50,8 @@
 	replica *crlrelay.Replica
 	// reads tells whether this daemon should read the store now, rather than follow another.
 	reads func() bool
+	// failing counts the topics that this daemon can't read.
+	failing *atomic.Int32
 }
 
 // watch follows one topic of the store.
@@ -148,6 +151,7 @@
 		return
 	}
 	w.failed = w.config.now()
+	w.config.failing.Add(1)
 	w.config.lines.Event(EventStoreLost,
 		slog.String("topic", w.config.topic), slog.String("cause", err.Error()), slog.Int64("next", int64(w.config.replica.End())))
 }
@@ -159,6 +163,7 @@
 	w.config.lines.Event(EventStoreRegained, slog.String("topic", w.config.topic),
 		slog.Duration("lost-ms", w.config.now().Sub(w.failed)), slog.Int64("next", int64(w.config.replica.End())))
 	w.failed = 0
+	w.config.failing.Add(-1)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
