--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -53,8 +53,8 @@
 
 const (
 	crossDomain = 0.03 // crossDomain is the extra cost of a server in another failure domain: a round trip, in seconds.
-	spread      = 0.01  // spread is the random part of a score in seconds, so that daemons with equal views differ.
-	waitMemory  = 0.7   // waitMemory is the time in seconds after which a wait that was seen counts by a factor of e less.
+	spread      = 0.01 // spread is the random part of a score in seconds, so that daemons with equal views differ.
+	waitMemory  = 0.7  // waitMemory is the time in seconds after which a wait that was seen counts by a factor of e less.
 )
 
 // Pick returns the server with the least open work for its pace, or ErrNoServer or ErrCold.
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -61,7 +61,10 @@
 		attributes = append(attributes, slog.String("session", string(x.head.Session)))
 	}
 	if x.head.Prompt > 0 {
-		attributes = append(attributes, slog.Int64("prompt-tokens", int64(x.head.Prompt)), slog.Int("confidence", x.trace.confidence))
+		attributes = append(attributes, slog.Int64("prompt-tokens", int64(x.head.Prompt)))
+	}
+	if x.stream.begun {
+		attributes = append(attributes, slog.Int("confidence", x.trace.confidence))
 	}
 	if x.stream.last > 0 {
 		attributes = append(attributes, slog.Int64("last-event", x.stream.last))
