Keep short answers for when a larger model is late; refuse late work earlier while draining; add the fault soak

Cause 1: on full engines material tags whose answer was dropped waited for the larger model until their deadline. Change: answers of up to 40 tokens are read whole before the escalation and given when the larger model hasn't begun by 0.9 of the objective. Change: new work is refused from 2.5 s on. Test first: TestLateWorkIsRefusedWhileDraining failed at 3 s.

--- a/cmd/cranberrylock-router/main.go
+++ b/cmd/cranberrylock-router/main.go
@@ -23,6 +23,8 @@
 func main() { os.Exit(start(os.Args[1:])) }
 
 func start(arguments []string) int {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	var o options
 	if exit, ok := crlcommand.Parse(&o, arguments); !ok {
 		return exit
@@ -40,7 +42,7 @@
 		fmt.Printf("%s: settings of router %s are valid\n", o.Settings, settings.Daemon)
 		return crlcommand.ExitDone
 	}
-	if err := serve(settings, load); err != nil {
+	if err := serve(settings, load, hangup); err != nil {
 		fmt.Fprintf(os.Stderr, "router: %v\n", err)
 		return crlcommand.ExitFailure
 	}
@@ -56,7 +58,7 @@
 }
 
 // serve runs a router until SIGTERM.
-func serve(settings *crlrouter.Settings, load func() (*crlrouter.Settings, error)) error {
+func serve(settings *crlrouter.Settings, load func() (*crlrouter.Settings, error), hangup <-chan os.Signal) error {
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	lines := crllog.New(crllog.Config{Output: os.Stdout})
@@ -73,7 +75,7 @@
 		Settings: settings,
 		Log:      platform.NewStore(platform.StoreConfig{Address: settings.Store, Client: &http.Client{Transport: platform.NewTransport()}}),
 		Topics:   crlrouter.Topics{Orders: platform.TopicOrders, Servers: platform.TopicServers, Status: platform.TopicStatus},
-		Codec:    platform.Codec{}, Dialect: platform.Dialect{}, Lines: lines, Clock: crlclock.Boot, Reload: load,
+		Codec:    platform.Codec{}, Dialect: platform.Dialect{}, Lines: lines, Clock: crlclock.Boot, Reload: load, Hangup: hangup,
 	})
 	return router.Run(stop)
 }
--- /dev/null
+++ b/cmd/cranberrylock-soak/main.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlcommand"
+	"github.com/cranberrylock/cranberrylock/crlsoak"
+)
+
+type options struct {
+	Program string        `long:"program" description:"binary of cranberrylock-router" required:"yes"`
+	Seed    uint64        `long:"seed" description:"first seed; 0 takes one from the time of day"`
+	Seeds   int           `long:"seeds" description:"number of seeds" default:"1"`
+	For     time.Duration `long:"for" description:"time of faults for each seed" default:"15s"`
+	Routers int           `long:"routers" description:"number of routers" default:"4"`
+	Engines int           `long:"engines" description:"number of backend servers" default:"4"`
+	Callers int           `long:"callers" description:"number of callers for each router" default:"4"`
+	Logs    string        `long:"logs" description:"directory for settings and logs; kept for seeds that break a promise" default:"/tmp"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(arguments []string) int {
+	var o options
+	if exit, ok := crlcommand.Parse(&o, arguments); !ok {
+		return exit
+	}
+	if o.Seed == 0 {
+		o.Seed = uint64(time.Now().Unix())
+	}
+	exit := crlcommand.ExitDone
+	for seed := o.Seed; seed < o.Seed+uint64(o.Seeds); seed++ {
+		broken, err := play(o, seed)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+		}
+		if broken || err != nil {
+			exit = crlcommand.ExitFailure
+		}
+	}
+	return exit
+}
+
+// play runs one seed and prints its report.
+func play(o options, seed uint64) (broken bool, err error) {
+	directory := filepath.Join(o.Logs, fmt.Sprintf("soak-%d", seed))
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		return false, err
+	}
+	report, err := crlsoak.Run(crlsoak.Config{
+		Program: o.Program, Directory: directory, Seed: seed, For: o.For, Routers: o.Routers, Engines: o.Engines, Callers: o.Callers,
+	})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d requests, %d answered, faults %v, %d broken\n",
+		seed, report.Requests, report.Answered, report.Faults, len(report.Broken))
+	for _, b := range report.Broken {
+		fmt.Println("  " + b)
+	}
+	if kept, err := report.KeepLogs(directory); err != nil || kept {
+		return len(report.Broken) > 0, err
+	}
+	return false, nil
+}
--- a/crlforward/carry.go
+++ b/crlforward/carry.go
@@ -20,6 +20,16 @@
 func (s *Service) carry(ctx context.Context, x *exchange) *Refusal {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	refusal := s.attempt(ctx, x)
+	if refusal != nil && x.giveKept() {
+		x.trace.cause = refusal.Reason + " at a larger model"
+		return nil
+	}
+	return refusal
+}
+
+// attempt makes sends until one is final.
+func (s *Service) attempt(ctx context.Context, x *exchange) *Refusal {
 	plan := newModelPlan(x)
 	for {
 		if ctx.Err() != nil {
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 )
@@ -29,6 +30,7 @@
 	}
 	if s.escalates(x, head, plan) {
 		x.trace.confidence = head.Confidence
+		x.keep(response)
 		return verdictEscalate, crlfleet.OutcomeAnswered
 	}
 	events := bufio.NewReader(response.Body)
@@ -50,6 +52,9 @@
 			return s.brokenStream(ctx, x, errGap)
 		}
 		if !x.stream.begun {
+			if x.late != nil && !x.late.Stop() {
+				return verdictFinal, crlfleet.OutcomeNeutral // The kept answer is given instead.
+			}
 			x.trace.confidence = head.Confidence
 			x.begin(response)
 		}
@@ -70,6 +75,41 @@
 	}
 }
 
+const (
+	keepTokens = 40                    // keepTokens is the length up to which an answer is over within keepTime on the smallest model.
+	keepTime   = 60 * time.Millisecond // keepTime is a small part of the objectives of one second and more.
+	keepBytes  = 16 << 10
+)
+
+// keep reads a short answer to its end before it is dropped for a larger model's, so that it can still be given when the
+// larger model doesn't begin within the objective. The server is done with it then, so that no two work on the request.
+func (x *exchange) keep(response *http.Response) {
+	expected := x.head.Output
+	if x.head.Expected > 0 {
+		expected = min(expected, x.head.Expected)
+	}
+	if expected == 0 || expected > keepTokens || x.route.Objective == 0 {
+		return
+	}
+	stop := time.AfterFunc(keepTime, func() { _ = response.Body.Close() })
+	defer stop.Stop()
+	body, err := io.ReadAll(io.LimitReader(response.Body, keepBytes+1))
+	if err != nil || len(body) > keepBytes {
+		return // The answer isn't whole, and only a whole one can be given later.
+	}
+	x.kept = &reply{status: response.StatusCode, header: response.Header, body: body}
+}
+
+// giveKept gives the answer that was kept, if there is one and nothing was given yet.
+func (x *exchange) giveKept() bool {
+	if x.kept == nil || x.stream.begun {
+		return false
+	}
+	x.kept.write(x.writer)
+	x.trace.status = x.kept.status
+	return true
+}
+
 var errGap = errors.New("the stream goes on at another event than the next")
 
 // begin gives the caller the head of the answer.
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -63,6 +63,11 @@
 func (s *Service) send(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if x.kept != nil {
+		// The answer that was kept is given in time when this one doesn't begin.
+		x.late = time.AfterFunc(time.Duration(objectivePart*float64(x.route.Objective))-time.Since(x.arrived), cancel)
+		defer x.late.Stop()
+	}
 	result := crlfleet.Result{Outcome: crlfleet.OutcomeNeutral}
 	defer func() { pick.Done(result) }()
 	x.sends++
@@ -74,6 +79,9 @@
 	}), x, pick, plan)
 	response, err := s.config.Transport.RoundTrip(request)
 	if err != nil {
+		if connected.Load() {
+			pick.Began(time.Since(began)) // What it waited so far is the least that its server lets requests wait.
+		}
 		return s.unanswered(ctx, x, pick, plan, &result, err, connected.Load())
 	}
 	defer response.Body.Close()
@@ -147,16 +155,14 @@
 // unanswered judges a send that got no head of an answer.
 func (s *Service) unanswered(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan, result *crlfleet.Result, err error, connected bool) verdict {
 	x.noteSend(pick, plan.model(), 0, 0, err.Error())
-	if !connected {
-		if ctx.Err() == nil {
-			result.Outcome = crlfleet.OutcomeUnreachable
-		}
-		return verdictAgain
-	}
-	x.mayRun = true
+	x.mayRun = x.mayRun || connected
 	if ctx.Err() != nil {
 		return verdictFinal
 	}
+	if !connected {
+		result.Outcome = crlfleet.OutcomeUnreachable
+		return verdictAgain
+	}
 	result.Outcome = crlfleet.OutcomeFailed
 	s.observe(x, pick, *result)
 	return s.repeat(x)
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -95,7 +95,9 @@
 	sends    int
 	mayRun   bool // mayRun is set once a server may have begun to work on the request.
 	tried    map[crlid.Server]bool
-	failure  *reply // failure is the newest failure that a server answered with.
+	failure  *reply      // failure is the newest failure that a server answered with.
+	kept     *reply      // kept is the whole answer of a smaller model, dropped for a larger one's.
+	late     *time.Timer // late ends a send in favour of the kept answer, nil when there is none.
 	stream   stream
 	trace    trace
 }
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -35,6 +35,9 @@
 	if head.Request == "" {
 		return head, errors.New("no request id")
 	}
+	if n, err := strconv.Atoi(h.Get("X-Output")); err == nil {
+		head.Output = crlid.Tokens(n)
+	}
 	if ms, err := strconv.Atoi(h.Get("X-Deadline")); err == nil {
 		head.Deadline = time.Duration(ms) * time.Millisecond
 	}
@@ -411,3 +414,39 @@
 		}
 	})
 }
+
+// TestShortAnswerIsKept is the pattern of full engines for short answers: the larger model doesn't begin, is slow or fails,
+// and the smaller model's whole answer is given within the objective.
+func TestShortAnswerIsKept(t *testing.T) {
+	slow := func(r *http.Request) (*http.Response, error) {
+		connect(r)
+		select {
+		case <-time.After(10 * time.Second):
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+		return whole(events(1, 4))(r)
+	}
+	for _, c := range []struct {
+		name   string
+		steps  []step
+		want   string
+		within time.Duration
+	}{
+		{"larger model in time", []step{unsure(20, events(1, 2)), whole(events(1, 3))}, events(1, 3), 0},
+		{"larger model too late", []step{unsure(20, events(1, 2)), slow}, events(1, 2), 1800 * time.Millisecond},
+		{"larger model fails", []step{unsure(20, events(1, 2)), lost, lost}, events(1, 2), 0},
+		{"larger model breaks after it began", []step{unsure(20, events(1, 2)), cut(events(1, 2)), whole(events(3, 4))}, events(1, 4), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(c.steps...)
+				began := time.Now()
+				got, aborted := w.call(t.Context(), "/draft/1", map[string]string{"X-Output": "20"})
+				if took := time.Since(began); aborted || got.Body.String() != c.want || took > c.within {
+					t.Errorf("got %q after %s, want %q within %s", got.Body, took, c.want, c.within)
+				}
+			})
+		})
+	}
+}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
@@ -47,7 +46,10 @@
 	Lines    *crllog.Logger
 	Peers    crlrelay.Caller // Peers calls other routers; nil for TCP.
 	Clock    crlclock.Clock  // Clock counts ages of proofs, also while the machine is suspended.
-	Reload   func() (*Settings, error)
+	// Hangup takes a signal when the settings have changed; it is notified from the start of the process on, as the
+	// signal ends a process that isn't.
+	Hangup <-chan os.Signal
+	Reload func() (*Settings, error)
 }
 
 // Router is one daemon of the fleet of routers.
@@ -264,13 +266,13 @@
 }
 
 const (
-	probeTimeout     = 2 * time.Second        // probeTimeout bounds the head of a question to the probes.
-	firstTableWait   = time.Second            // firstTableWait is how long callers' connections wait for a first configuration.
-	firstTablePeriod = 10 * time.Millisecond  // firstTablePeriod is how often it is looked for.
-	defaultIdle      = time.Minute            // defaultIdle is the idle timeout before a configuration states one.
-	defaultHeader    = 3 * time.Second        // defaultHeader is the time for a request's head before a configuration states one.
-	drainListen      = 3 * time.Second        // drainListen is how long the balancer may still send new connections: two misses.
-	drainMargin      = 400 * time.Millisecond // drainMargin is left of the grace time for the process to end.
+	probeTimeout     = 2 * time.Second         // probeTimeout bounds the head of a question to the probes.
+	firstTableWait   = time.Second             // firstTableWait is how long callers' connections wait for a first configuration.
+	firstTablePeriod = 10 * time.Millisecond   // firstTablePeriod is how often it is looked for.
+	defaultIdle      = time.Minute             // defaultIdle is the idle timeout before a configuration states one.
+	defaultHeader    = 3 * time.Second         // defaultHeader is the time for a request's head before a configuration states one.
+	drainListen      = 2500 * time.Millisecond // drainListen gives the balancer time for two misses; what comes after three seconds would have to be finished.
+	drainMargin      = 400 * time.Millisecond  // drainMargin is left of the grace time for the process to end.
 	drainPeriod      = 20 * time.Millisecond
 )
 
@@ -354,14 +356,11 @@
 
 // reload reads the settings again on a hangup.
 func (r *Router) reload(ctx context.Context) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hangup:
+		case <-r.config.Hangup:
 		}
 		settings, err := r.config.Reload()
 		if err != nil {
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
@@ -59,6 +62,19 @@
 	return crlplatform.KeyedRecord{Key: string(s.Service), Value: []byte(s.State.String())}, nil
 }
 
+// dialect reads no headers.
+type dialect struct{}
+
+func (dialect) DecodeRequest(http.Header) (crlforward.Head, error) {
+	return crlforward.Head{Request: "r"}, nil
+}
+
+func (dialect) EncodeAttempt(http.Header, crlforward.Attempt) {}
+
+func (dialect) DecodeAnswer(int, http.Header) crlforward.AnswerHead { return crlforward.AnswerHead{} }
+
+func (dialect) RetryAfter(http.Header, time.Duration) {}
+
 // peers carries calls between the routers of a test.
 type peers struct {
 	mu      sync.Mutex
@@ -88,7 +104,7 @@
 		address := fmt.Sprintf("10.0.0.%d:1", n)
 		r := New(Config{
 			Settings: &Settings{Daemon: crlid.Daemon(address), Domain: "near", Peer: address, Bounds: Bounds{RetryWindow: 10 * time.Second}},
-			Log:      store.view(n), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"}, Codec: codec{}, Peers: network,
+			Log:      store.view(n), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"}, Codec: codec{}, Dialect: dialect{}, Peers: network,
 			Lines: crllog.New(crllog.Config{Output: io.Discard}), Clock: clock,
 			Reload: func() (*Settings, error) { return nil, errors.New("no file") },
 		})
@@ -299,3 +315,32 @@
 		}
 	})
 }
+
+// TestLateWorkIsRefusedWhileDraining is the pattern of machines that are stopped in turn: work that is taken later than
+// three seconds after the signal may not be cut, so it is refused before (LOST, tll-roots trouble-2).
+func TestLateWorkIsRefusedWhileDraining(t *testing.T) {
+	world(t, 1, func(_ *memoryLog, routers []*Router) {
+		r := routers[0]
+		r.config.Settings.Bounds.Grace = 8 * time.Second
+		ctx, signal := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- r.drain(ctx, &http.Server{}) }()
+		signal()
+		answered := func() string {
+			recorder := httptest.NewRecorder()
+			r.service.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "http://h/none/", nil))
+			return strings.TrimSpace(recorder.Body.String())
+		}
+		time.Sleep(2 * time.Second)
+		if got := answered(); got == crlforward.ReasonDraining {
+			t.Error("work is refused while the balancer may not have noticed yet")
+		}
+		time.Sleep(800 * time.Millisecond)
+		if got := answered(); got != crlforward.ReasonDraining {
+			t.Errorf("work that comes 2.8 s after the signal is taken: %s", got)
+		}
+		if err := <-done; !errors.Is(err, errDrained) {
+			t.Error(err)
+		}
+	})
+}
