Let the strongest daemons read, converge rosters, leave a store that is down alone

Traces: (1) 75 daemons tried a store that was down every 0.6 s; (2) lists read while partitions moved stayed within a generation, so daemons disagreed who reads; (3) a reader on a 10 Mbit/s link was late for 37 followers, which then asked for everything again. Ruled out: the readers' own reads. Change: daemons that don't read for others spread their tries over 60 ms times their number; a roster is taken again within its generation; readers are the strongest VMs; every other turn asks a reader; source lines say why the last one was given up.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"slices"
@@ -61,6 +62,7 @@
 	incarnation crlid.Incarnation
 	turn        int // turn counts the sources that were given up.
 	turned      crlclock.Instant
+	cause       string // cause is why the last source was given up.
 }
 
 // NewFollower returns a follower that knows no other daemon.
@@ -75,15 +77,23 @@
 	return f.roster
 }
 
-// Learn takes a roster unless a newer one is known.
+// Learn takes a roster unless one of a later generation is known. Within a generation the one learned last counts, since
+// readers list it again and again while partitions move.
 func (f *Follower) Learn(roster Roster) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if roster.Generation > f.roster.Generation {
+	if roster.Generation >= f.roster.Generation {
 		f.roster = roster
 	}
 }
 
+// Reader reports whether this daemon is one of those that read the store for all.
+func (f *Follower) Reader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reader()
+}
+
 // Reads reports whether this daemon should read the store itself: as a reader, or for want of a fresh proof from a peer.
 func (f *Follower) Reads() bool {
 	f.mu.Lock()
@@ -159,7 +169,19 @@
 		return Member{}, false
 	}
 	slices.SortFunc(sources, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.hash, b.hash)) })
-	return sources[f.turn%len(sources)].member, true
+	return sources[sourceAt(f.turn, len(sources))].member, true
+}
+
+// sourceAt returns the place of the source for a turn: every other turn asks a reader, as those know first when the store
+// is back; the turns between go through all.
+func sourceAt(turn, sources int) int {
+	if sources <= 2*Readers {
+		return turn % sources
+	}
+	if turn%2 == 0 {
+		return turn / 2 % min(Readers, sources)
+	}
+	return (Readers + turn/2) % sources
 }
 
 // ownFresh returns until when the proofs that the daemon holds are good enough.
@@ -176,14 +198,16 @@
 	if source.Address != f.source.Address {
 		f.source, f.incarnation = source, ""
 		clear(f.cursors)
-		f.config.Lines.Event(EventSource, slog.String("source", source.Address), slog.Int("given-up", f.turn))
+		f.config.Lines.Event(EventSource, slog.String("source", source.Address), slog.Int("given-up", f.turn),
+			slog.String("cause", f.cause))
 	}
 	var news News
 	asked := f.config.Now()
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, Follow{
-		Source: f.incarnation, Cursors: f.cursors, Wait: Milliseconds(FollowWait.Milliseconds()), Roster: f.Roster().Generation,
+		Source: f.incarnation, Cursors: f.cursors, Wait: Milliseconds(FollowWait.Milliseconds()), Roster: f.Roster().digest(),
 	}, &news)
 	if err != nil {
+		f.cause = err.Error()
 		return false
 	}
 	f.incarnation = news.Source // The source gives all it has to a follower that knows another incarnation.
@@ -199,6 +223,7 @@
 func (f *Follower) take(news News, asked crlclock.Instant) bool {
 	for topic := range f.config.Replicas {
 		if t, ok := news.Topics[topic]; !ok || t.Age < 0 {
+			f.cause = string(topic) + " is not known there"
 			return false
 		}
 	}
@@ -213,6 +238,9 @@
 		f.cursors[topic] = t.Cursor
 		proved := asked.Add(time.Duration(news.Held-t.Age) * time.Millisecond)
 		replica.Prove(proved)
+		if age := f.config.Now().Sub(proved); age > f.config.Fresh[topic] {
+			f.cause = fmt.Sprintf("proof of %s is %s old", topic, age.Round(time.Millisecond))
+		}
 		fresh = min(fresh, proved.Add(f.config.Fresh[topic]))
 	}
 	f.mu.Lock()
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -1,6 +1,8 @@
 package crlrelay
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
@@ -17,7 +19,7 @@
 	Source  crlid.Incarnation `json:"source"` // Source is the daemon that the cursors are of; others start at 0.
 	Cursors map[Topic]Cursor  `json:"cursors"`
 	Wait    Milliseconds      `json:"wait-ms"` // Wait bounds how long the call is held when there is nothing new.
-	Roster  int64             `json:"roster"`  // Roster is the generation of the roster that the follower knows.
+	Roster  uint64            `json:"roster"`  // Roster is the digest of the roster that the follower knows.
 }
 
 // News is the answer to a Follow.
@@ -25,7 +27,7 @@
 	Source crlid.Incarnation   `json:"source"`
 	Topics map[Topic]TopicNews `json:"topics"`
 	Held   Milliseconds        `json:"held-ms"`          // Held is how long the source held the call.
-	Roster *Roster             `json:"roster,omitempty"` // Roster is set when it is newer than the follower's.
+	Roster *Roster             `json:"roster,omitempty"` // Roster is set when it is another than the follower's.
 }
 
 // TopicNews is what changed in one replica.
@@ -41,6 +43,8 @@
 type Member struct {
 	Address string       `json:"address"`
 	Domain  crlid.Domain `json:"failure-domain"`
+	// Strength is what the daemon's VM can carry for others; the strongest daemons read the store.
+	Strength int `json:"strength"`
 }
 
 // Roster lists the daemons of the group; the first ones read the store.
@@ -48,3 +52,13 @@
 	Generation int64    `json:"generation"`
 	Members    []Member `json:"members"`
 }
+
+// digest tells rosters apart, as lists read while partitions move can differ within one generation.
+func (r Roster) digest() uint64 {
+	hash := xxhash.New()
+	for _, m := range r.Members {
+		// Writes to a hash never fail.
+		_, _ = hash.WriteString(m.Address + " ")
+	}
+	return hash.Sum64() + uint64(r.Generation)
+}
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -271,3 +271,40 @@
 		t.Errorf("relays %d records up to %d", len(after.records), after.end)
 	}
 }
+
+// TestRosterListedAgainWithinAGeneration is the pattern of 63 daemons that join at once: the first lists miss members, and
+// followers must not keep them.
+func TestRosterListedAgainWithinAGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := crlclock.NewMonotonic()
+		reader, other := newDaemon("a", now), newDaemon("c", now)
+		reader.replica.Replace(nil, 0)
+		reader.roster = Roster{Generation: 7, Members: []Member{{Address: "a"}, {Address: "b"}, {Address: "c"}}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go feed(ctx, reader)
+		f := newFollower(other, network{"a": reader}, "c", "a", "x", "c")
+		f.Learn(Roster{Generation: 7, Members: []Member{{Address: "a"}, {Address: "x"}, {Address: "c"}}})
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		if got := f.Roster(); got.digest() != reader.roster.digest() {
+			t.Errorf("the follower keeps %v", got)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// TestEveryOtherTurnAsksAReader shows that a large fleet finds the store's return by its readers, and any daemon that has proof.
+func TestEveryOtherTurnAsksAReader(t *testing.T) {
+	seen := make(map[int]bool)
+	for turn := range 200 {
+		at := sourceAt(turn, 74)
+		seen[at] = true
+		if turn%2 == 0 && at >= Readers {
+			t.Fatalf("turn %d asks source %d", turn, at)
+		}
+	}
+	if len(seen) != 74 {
+		t.Errorf("%d of 74 sources are asked", len(seen))
+	}
+}
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -31,7 +31,9 @@
 		f.Cursors = nil
 	}
 	arrived := s.config.Now()
-	s.wait(ctx, f)
+	if s.known() {
+		s.wait(ctx, f) // A source that knows nothing yet says so at once.
+	}
 	answered := s.config.Now()
 	news := News{Source: s.config.Self, Topics: make(map[Topic]TopicNews, len(s.config.Replicas))}
 	// Rounded down, and ages up, so that no proof looks newer than it is.
@@ -51,12 +53,21 @@
 			Whole: after == 0, Records: d.records, Cursor: d.newest, End: d.end, Age: age,
 		}
 	}
-	if roster := s.config.Roster(); roster.Generation > f.Roster {
+	if roster := s.config.Roster(); roster.digest() != f.Roster {
 		news.Roster = &roster
 	}
 	return news, nil
 }
 
+func (s *Server) known() bool {
+	for _, replica := range s.config.Replicas {
+		if !replica.Known() {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) wait(ctx context.Context, f Follow) {
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(f.Wait)*time.Millisecond, longestWait))
 	defer cancel()
--- a/crlrouter/members.go
+++ b/crlrouter/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -44,17 +45,18 @@
 
 // memberName encodes a member as the name under which it joins.
 func memberName(m crlrelay.Member) string {
-	return m.Address + " " + string(m.Domain)
+	return m.Address + " " + string(m.Domain) + " " + strconv.Itoa(m.Strength)
 }
 
 // parseMember decodes the name of a member; ok is false for names that no router made.
 func parseMember(name string) (member crlrelay.Member, ok bool) {
 	fields := strings.Fields(name)
-	const parts = 2
+	const parts = 3
 	if len(fields) != parts {
 		return crlrelay.Member{}, false
 	}
-	return crlrelay.Member{Address: fields[0], Domain: crlid.Domain(fields[1])}, true
+	strength, err := strconv.Atoi(fields[2])
+	return crlrelay.Member{Address: fields[0], Domain: crlid.Domain(fields[1]), Strength: strength}, err == nil
 }
 
 // run keeps the daemon in the group until ctx ends, and then leaves it.
@@ -87,7 +89,7 @@
 	return ctx.Err()
 }
 
-// list reads the roster; its order is that of the partitions, so that all daemons agree on the first ones.
+// list reads the roster; its order is that of strength and then of the partitions, so that all daemons agree on the first ones.
 func (m *members) list(ctx context.Context, generation int64) {
 	ctx, cancel := context.WithTimeout(ctx, callSlack)
 	defer cancel()
@@ -108,6 +110,8 @@
 			roster.Members = append(roster.Members, member)
 		}
 	}
+	// A reader on a weak VM or a slow link is late for all that follow it.
+	slices.SortStableFunc(roster.Members, func(a, b crlrelay.Member) int { return cmp.Compare(b.Strength, a.Strength) })
 	if roster.Generation != m.follower.Roster().Generation {
 		m.lines.Event(EventMembership, slog.Int64("generation", generation), slog.Int("members", len(roster.Members)))
 	}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -89,7 +89,7 @@
 	}
 	r.replicas = make(map[crlrelay.Topic]*crlrelay.Replica)
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
-		Self:     crlrelay.Member{Address: s.Peer, Domain: s.Domain},
+		Self:     crlrelay.Member{Address: s.Peer, Domain: s.Domain, Strength: s.Strength},
 		Replicas: r.replicas, Peers: config.Peers, Now: config.Clock, Lines: config.Lines,
 		Failing: func() bool { return r.failing.Load() > 0 },
 		Fresh: map[crlrelay.Topic]time.Duration{
@@ -226,9 +226,20 @@
 	}
 }
 
+// spreadPerDaemon keeps the tries of all daemons in an outage under about 50 a second for three topics.
+const spreadPerDaemon = 60 * time.Millisecond
+
+// spread returns how long a daemon that isn't a reader leaves a store alone that failed it; readers try on, and tell.
+func (r *Router) spread() time.Duration {
+	if r.follower.Reader() {
+		return 0
+	}
+	return time.Duration(r.follower.Count()) * spreadPerDaemon
+}
+
 func (r *Router) watch(config watchConfig) *watch {
 	config.log, config.now, config.lines, config.reads = r.config.Log, r.config.Clock, r.config.Lines, r.follower.Reads
-	config.failing = &r.failing
+	config.failing, config.spread = &r.failing, r.spread
 	return newWatch(config)
 }
 
--- a/crlrouter/settings.go
+++ b/crlrouter/settings.go
@@ -16,6 +16,7 @@
 	Peer        string // Peer is the address for other routers.
 	Store       string // Store is the address of the platform's store.
 	MemoryBytes int64  // MemoryBytes is the memory that the process may use.
+	Strength    int    // Strength is the lesser of the link in Mbit/s and the processor in thousandths of a core.
 	Descriptors int    // Descriptors bounds open files and connections.
 	Heartbeat   time.Duration
 	Bounds      Bounds
--- a/crlrouter/watch.go
+++ b/crlrouter/watch.go
@@ -50,6 +50,8 @@
 	replica *crlrelay.Replica
 	// reads tells whether this daemon should read the store now, rather than follow another.
 	reads func() bool
+	// spread returns the further pause after a failure, so that a fleet doesn't press on a store that is down.
+	spread func() time.Duration
 	// failing counts the topics that this daemon can't read.
 	failing *atomic.Int32
 }
@@ -75,6 +77,9 @@
 		if err != nil {
 			w.noteLost(err)
 			sleep(ctx, retry/2+rand.N(retry))
+			if w.config.replica.Known() {
+				sleep(ctx, w.config.spread())
+			}
 			retry = min(2*retry, lastRetry)
 			continue
 		}
