--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -184,7 +184,7 @@
 
 // TestStrongestRead is the pattern of fleets with slow links: a reader on one is late for all that follow it.
 func TestStrongestRead(t *testing.T) {
-	world(t, 6, func(store *memoryLog, routers []*Router) {
+	world(t, 6, func(_ *memoryLog, routers []*Router) {
 		for i, r := range routers {
 			want := i >= len(routers)-crlrelay.Readers
 			if r.follower.Reader() != want {
