--- a/crlbudget/retry.go
+++ b/crlbudget/retry.go
@@ -85,6 +85,5 @@
 		w.at++
 		w.requests[w.at%(buckets+1)], w.extras[w.at%(buckets+1)] = 0, 0
 	}
-
 	return w
 }
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// Announce takes the entry of a server; replayed is set for entries that may be older than the daemon's other knowledge.
+// Announce takes the entry of a server, the newest that there is.
 func (f *Fleet) Announce(e Entry, now crlclock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/crlforward/head.go
+++ b/crlforward/head.go
@@ -59,6 +59,6 @@
 	EncodeAttempt(header http.Header, attempt Attempt)
 	// DecodeAnswer returns what the headers of a backend server say.
 	DecodeAnswer(status int, header http.Header) AnswerHead
-	// EncodeEvents resumes a stream within one answer.
+	// RetryAfter tells a caller when to come back.
 	RetryAfter(header http.Header, after time.Duration)
 }
--- a/crlrouter/settings.go
+++ b/crlrouter/settings.go
@@ -17,23 +17,17 @@
 	Store       string // Store is the address of the platform's store.
 	MemoryBytes int64  // MemoryBytes is the memory that the process may use.
 	Strength    int    // Strength is the lesser of the link in Mbit/s and the processor in thousandths of a core.
-	Descriptors int    // Descriptors bounds open files and connections.
-	Heartbeat   time.Duration
 	Bounds      Bounds
 }
 
 // Bounds are the limits that the deployment asks the router to keep.
 type Bounds struct {
-	Drain         time.Duration // Drain is how soon a leaving server must get nothing more.
-	Grace         time.Duration // Grace is the time from the signal to stop to the kill.
-	Configuration time.Duration // Configuration is how soon an accepted configuration must be in force.
-	Revocation    time.Duration // Revocation is how soon a key that was taken away must not work, 0 for no bound.
-	RetryRatio    float64       // RetryRatio is the extra sends for each request in RetryWindow over all daemons.
-	RetryWindow   time.Duration
-	RetrySlack    float64 // RetrySlack is the extra sends in RetryWindow beyond the ratio.
-	ExposureShare float64 // ExposureShare is the part of a service's requests that a bad version may get.
-	ExposureSlack float64 // ExposureSlack is in requests.
-	ColdRatio     float64 // ColdRatio times a cold server's rate, and ColdSlack, bound the requests to it in a second.
-	ColdSlack     float64
-	Session       time.Duration // Session is how soon the next request of a session follows.
+	Grace       time.Duration // Grace is the time from the signal to stop to the kill.
+	Revocation  time.Duration // Revocation is how soon a key that was taken away must not work, 0 for no bound.
+	RetryRatio  float64       // RetryRatio is the extra sends for each request in RetryWindow over all daemons.
+	RetryWindow time.Duration
+	RetrySlack  float64 // RetrySlack is the extra sends in RetryWindow beyond the ratio.
+	ColdRatio   float64 // ColdRatio times a cold server's rate, and ColdSlack, bound the requests to it in a second.
+	ColdSlack   float64
+	Session     time.Duration // Session is how soon the next request of a session follows.
 }
