Bound a version's exposure until its deadline, even when it shows no fault

Ruled out: a slow test (0 of 64 answers a second failed), a longer whole load before completion. Change: first step 0.02 up to 6 daemons, whole load from 0.92 on, completion at 0.96.

--- a/crlrollout/book.go
+++ b/crlrollout/book.go
@@ -41,12 +41,14 @@
 // step is the share of the work that the target gets from a part of the time on.
 type step struct{ from, share float64 }
 
-// steps keeps the target's part of all requests under 0.12 until completion: 0.5*0.05 + 0.1*0.1 + 0.16*0.25 + 0.04*1.
-var steps = []step{{0, 0.05}, {0.5, 0.1}, {0.6, 0.25}, {0.76, 1}}
+// steps keeps the target's part of all requests until the deadline under 0.12, also when it shows no fault at all and all
+// work goes to it at the end: 0.5*0.02 + 0.38*0.04 + 0.04*0.25 + 0.08*1. Some versions are bad only under a load that
+// doesn't come in that time.
+var steps = []step{{0, 0.02}, {0.5, 0.04}, {0.88, 0.25}, {0.92, 1}}
 
 const (
 	// completeAt is the part of the time after which a target without a finding is complete.
-	completeAt = 0.8
+	completeAt = 0.96
 	// pinnedUntil is the part of the time in which sessions stay on the version that they have.
 	pinnedUntil = 0.5
 	// takenOverAt is the part of the time that is taken as passed when a daemon meets a running roll-out at its start.
@@ -68,7 +70,7 @@
 // fewDaemons is the number of daemons up to which the first step is taken whole. Sessions move between daemons, so the
 // more there are, the more sessions would be taken from one version to the other by a daemon that doesn't know them; and
 // the more there are, the smaller a part of the requests is enough to judge a version.
-const fewDaemons = 9
+const fewDaemons = 6
 
 // Config configures a Book.
 type Config struct {
--- a/crlrollout/book_test.go
+++ b/crlrollout/book_test.go
@@ -29,32 +29,37 @@
 	return b.Observe(Observation{Service: service, Version: version, Bad: bad})
 }
 
-// TestExposureUntilCompletion bounds what a version gets that turns bad only at the very end.
-func TestExposureUntilCompletion(t *testing.T) {
+// TestExposureUntilTheDeadline bounds what a version gets that shows no fault until the deadline, as one that is bad only
+// under a load that doesn't come (EXPOSURE, the day slow-version-under-load). After completion it gets everything.
+func TestExposureUntilTheDeadline(t *testing.T) {
 	const bound = 0.12 // The grown deployments' share of all requests until the deadline.
 	b := ordered(6)
 	var exposed float64
 	const step = 10 * time.Millisecond
+	completed := false
 	for passed := time.Duration(0); passed < over; passed += step {
 		now := start.Add(passed)
-		due := b.Due(now, enough)
-		if len(due) == 1 && due[0].State == StateCompleted {
-			break
+		if due := b.Due(now, enough); len(due) == 1 && due[0].State == StateCompleted {
+			completed = true
+		}
+		share := b.Plan(service, now, enough).Share
+		if completed {
+			share = 1
 		}
-		exposed += b.Plan(service, now, enough).Share * float64(step) / float64(over)
+		exposed += share * float64(step) / float64(over)
 	}
-	if exposed > bound {
-		t.Errorf("a version without a finding gets %.3f of the requests before completion, bound is %.2f", exposed, bound)
+	if exposed > bound || !completed {
+		t.Errorf("a version without a finding gets %.3f of the requests until the deadline, bound is %.2f; completed: %v", exposed, bound, completed)
 	}
 }
 
 func TestCompletionBeforeTheDeadline(t *testing.T) {
 	b := ordered(6)
-	due := b.Due(start.Add(over*9/10), enough)
+	due := b.Due(start.Add(over*97/100), enough)
 	if len(due) != 1 || due[0].State != StateCompleted {
-		t.Fatalf("due at nine tenths of the time: %v, want completed", due)
+		t.Fatalf("due shortly before the deadline: %v, want completed", due)
 	}
-	if due := b.Due(start.Add(over*9/10), func(crlid.Service, crlid.Version) (int, int) { return 0, 9 }); due[0].State != StateRunning {
+	if due := b.Due(start.Add(over*97/100), func(crlid.Service, crlid.Version) (int, int) { return 0, 9 }); due[0].State != StateRunning {
 		t.Errorf("due without servers of the target: %v, want running", due)
 	}
 }
@@ -112,10 +117,10 @@
 
 // TestShareFallsWithTheNumberOfDaemons is the pattern of 63 daemons, where sessions are seen at several of them.
 func TestShareFallsWithTheNumberOfDaemons(t *testing.T) {
-	few, many := ordered(9), ordered(63)
+	few, many := ordered(6), ordered(63)
 	now := start.Add(time.Second)
 	if a, b := few.Plan(service, now, enough).Share, many.Plan(service, now, enough).Share; b > a/6 {
-		t.Errorf("first step is %.4f with 9 daemons and %.4f with 63", a, b)
+		t.Errorf("first step is %.4f with 6 daemons and %.4f with 63", a, b)
 	}
 }
 
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -312,7 +312,7 @@
 		store.put("servers", "i-2", "v2")
 		at := crlid.Offset(0)
 		store.put("orders", "rollout", "v2")
-		time.Sleep(19 * time.Second)
+		time.Sleep(20 * time.Second)
 		if got := strings.Join(store.values("status"), " "); got != "running completed" {
 			t.Errorf("states written: %s", got)
 		}
