Log the state around requests that end without an answer

A connection that is closed after its request was read and before the handler began left no line at all; net/http does that during Shutdown. The line of a stream that was cut did not say whether the router drained, how old the configuration and the connection were, or how much the caller had been sent.

The new package crlconn tracks callers' connections. The router logs `unanswered` for a connection that it closes under a request of which no byte was answered. Lines of requests that are cut, or that end while the router drains, carry the state of the router, the age of the configuration and the state of the connection. No decision changes.

--- /dev/null
+++ b/crlconn/tracker.go
@@ -0,0 +1,95 @@
+package crlconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Closed describes a connection that this process closed after bytes of a request had arrived and before any byte of the answer
+// was written.
+type Closed struct {
+	Remote    string        // address of the caller
+	Age       time.Duration // time since the connection was accepted
+	Waited    time.Duration // time since the first byte of the request arrived
+	ReadBytes int64         // bytes of the request that were read
+	Answers   int           // requests that were answered on the connection before
+}
+
+// Config configures a Tracker.
+type Config struct {
+	OnUnanswered func(Closed) // called for each connection that is closed without an answer to a request; nil for none
+}
+
+// Tracker tracks the connections of one http.Server. It is safe for concurrent use.
+type Tracker struct {
+	config Config
+	mu     sync.Mutex // guards open
+	open   map[*conn]struct{}
+}
+
+// Stats describes a connection at one moment.
+type Stats struct {
+	Age          time.Duration // time since the connection was accepted
+	Answers      int           // requests that were answered on the connection before the open one
+	WrittenBytes int64         // bytes of the open request's answer that were written
+}
+
+// contextKey is the key of the connection in the contexts of its requests.
+type contextKey struct{}
+
+// StatsOf returns the state of the connection that a request arrived on, given the request's context; ok is false if no Tracker
+// tracks the connection.
+func StatsOf(ctx context.Context) (stats Stats, ok bool) {
+	c, ok := ctx.Value(contextKey{}).(*conn)
+	if !ok {
+		return Stats{}, false
+	}
+	return c.stats(), true
+}
+
+// New returns a Tracker of the connections of a server. It sets the server's ConnState and ConnContext. The server must serve on
+// a listener that the Tracker's Listener method returned.
+func New(config Config, server *http.Server) *Tracker {
+	t := &Tracker{config: config, open: make(map[*conn]struct{})}
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if tracked, ok := c.(*conn); ok && state == http.StateIdle {
+			tracked.recordAnswer()
+		}
+	}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) }
+	return t
+}
+
+// Listener returns a listener whose connections are tracked.
+func (t *Tracker) Listener(l net.Listener) net.Listener { return &listener{Listener: l, tracker: t} }
+
+// listener is a net.Listener whose connections are tracked.
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept waits for the next connection and tracks it.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, tracker: l.tracker, acceptedAt: time.Now()}
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.tracker.open[c] = struct{}{}
+	return c, nil
+}
+
+// remove stops tracking a connection and reports whether it was tracked.
+func (t *Tracker) remove(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.open[c]
+	delete(t.open, c)
+	return ok
+}
--- /dev/null
+++ b/crlconn/tracker_test.go
@@ -0,0 +1,127 @@
+package crlconn
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pipeListener hands out the server's ends of in-memory connections.
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dial returns the caller's end of a new connection.
+func (l *pipeListener) dial() net.Conn {
+	caller, server := net.Pipe()
+	l.accepted <- server
+	return caller
+}
+
+// serve runs a test against a server whose connections are tracked, and returns what the tracker reported.
+func serve(t *testing.T, handler http.HandlerFunc, test func(t *testing.T, l *pipeListener)) (reported []Closed) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		server := &http.Server{Handler: handler}
+		tracker := New(Config{OnUnanswered: func(c Closed) { reported = append(reported, c) }}, server)
+		l := newPipeListener()
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(tracker.Listener(l)) }()
+		test(t, l)
+		if err := server.Close(); err != nil {
+			t.Errorf("close the server: %v", err)
+		}
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return reported
+}
+
+// exchange sends a request on a connection and reads the answer.
+func exchange(t *testing.T, c net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatalf("send a request: %v", err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("read the answer: %v", err)
+	}
+	defer response.Body.Close()
+	if _, err := io.ReadAll(response.Body); err != nil {
+		t.Fatalf("read the answer's body: %v", err)
+	}
+}
+
+// TestConnectionClosedBeforeItsAnswerIsReported checks that a request which net/http drops without calling the handler leaves a
+// trace, as no handler can log it.
+func TestConnectionClosedBeforeItsAnswerIsReported(t *testing.T) {
+	reported := serve(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, l *pipeListener) {
+		caller := l.dial()
+		exchange(t, caller)
+		time.Sleep(time.Second)
+		if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+	})
+	want := Closed{Remote: "pipe", Age: 3 * time.Second, Waited: 2 * time.Second, ReadBytes: 16, Answers: 1}
+	if len(reported) != 1 || reported[0] != want {
+		t.Errorf("reported %+v, want only %+v", reported, want)
+	}
+}
+
+// TestAnsweredAndAbandonedConnectionsAreNotReported checks that neither a complete exchange nor a caller that leaves counts as a
+// request without an answer.
+func TestAnsweredAndAbandonedConnectionsAreNotReported(t *testing.T) {
+	var stats Stats
+	reported := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Second)
+		stats, _ = StatsOf(r.Context())
+	}, func(t *testing.T, l *pipeListener) {
+		kept := l.dial()
+		exchange(t, kept)
+		exchange(t, kept)
+		abandoned := l.dial()
+		if _, err := io.WriteString(abandoned, "GET / HTTP/1.1\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if err := abandoned.Close(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+	})
+	if len(reported) != 0 {
+		t.Errorf("reported %+v, want nothing", reported)
+	}
+	if want := (Stats{Age: 2 * time.Second, Answers: 1}); stats != want {
+		t.Errorf("the second request's connection is %+v, want %+v", stats, want)
+	}
+}
--- a/crlforward/explain_test.go
+++ b/crlforward/explain_test.go
@@ -21,12 +21,15 @@
 		Status int    `json:"status"`
 		Cause  string `json:"cause"`
 	} `json:"sends"`
-	Cause string `json:"cause"`
+	Cause            string   `json:"cause"`
+	Draining         *bool    `json:"draining"`
+	ConfigurationAge *float64 `json:"configuration-age-ms"`
 }
 
-// findLine returns the log line of a request, found by the request's id as docs/OPERATIONS.md describes.
-func (c *cluster) findLine(t *testing.T, request string) requestLine {
+// findLine returns the log line of the request that cluster.call sends, found by the request's id as docs/OPERATIONS.md describes.
+func (c *cluster) findLine(t *testing.T) requestLine {
 	t.Helper()
+	const request = "r1"
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	if err := c.service.config.Log.Run(ctx); err != nil {
@@ -49,14 +52,14 @@
 		c := newCluster()
 		c.confirmedAt = c.now().Add(-5 * time.Second)
 		c.call(t.Context(), "/read/1", nil)
-		if l := c.findLine(t, "r1"); l.Outcome != ReasonUnconfirmed || l.Status != 503 || len(l.Sends) != 0 || l.ConfirmationAge < 5000 {
+		if l := c.findLine(t); l.Outcome != ReasonUnconfirmed || l.Status != 503 || len(l.Sends) != 0 || l.ConfirmationAge < 5000 {
 			t.Errorf("line %+v does not show that the configuration's last confirmation is 5 s old and that nothing was sent", l)
 		}
 	})
 	t.Run("stream that broke and continued at another server", func(t *testing.T) {
 		c := newCluster(breaksAfter(events(1, 2)), answers(events(3, 4)))
 		c.call(t.Context(), "/draft/1", nil)
-		l := c.findLine(t, "r1")
+		l := c.findLine(t)
 		if l.Outcome != "answered" || len(l.Sends) != 2 || l.Sends[0].Server == l.Sends[1].Server || l.LastEvent != 4 ||
 			l.Cause != errReset.Error() {
 			t.Errorf("line %+v does not show the first server's failure and the second server's completion", l)
@@ -65,9 +68,24 @@
 	t.Run("request that must not be repeated, with unknown outcome", func(t *testing.T) {
 		c := newCluster(losesAnswer)
 		c.call(t.Context(), "/file/1", nil)
-		l := c.findLine(t, "r1")
+		l := c.findLine(t)
 		if l.Outcome != ReasonOutcomeUnknown || l.Status != 502 || len(l.Sends) != 1 || l.Sends[0].Cause != errReset.Error() {
 			t.Errorf("line %+v does not show the single send and its failure", l)
 		}
 	})
 }
+
+// TestLinesOfCutRequestsTellTheDaemonsState checks that a stream that was cut off can be told apart from one that was cut by a
+// drain or beside a new configuration.
+func TestLinesOfCutRequestsTellTheDaemonsState(t *testing.T) {
+	c := newCluster(breaksAfter(events(1, 2)))
+	c.service.Drain()
+	func() {
+		defer func() { _ = recover() }() // The abort of the connection is a panic.
+		c.call(t.Context(), "/once/1", nil)
+	}()
+	l := c.findLine(t)
+	if l.Status != 0 || l.Draining == nil || !*l.Draining || l.ConfigurationAge == nil {
+		t.Errorf("line %+v does not show a request that was cut while the daemon drained, and the age of the configuration", l)
+	}
+}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -23,6 +23,7 @@
 // State is the daemon's view of the configuration when a request arrives.
 type State struct {
 	Table       *crlroute.Table  // nil until the first configuration is loaded
+	AppliedAt   crlclock.Instant // when this daemon applied Table
 	ConfirmedAt crlclock.Instant // when the configuration was last confirmed to be the newest
 }
 
@@ -91,6 +92,7 @@
 	head          Head
 	body          []byte
 	table         *crlroute.Table
+	tableAge      time.Duration // time from the application of table to the request's arrival
 	route         *crlroute.Route
 	service       *crlroute.Service
 	caller        crlroute.Organisation // the zero value if the request needs no API key
@@ -164,7 +166,7 @@
 	if state.Table == nil {
 		return unavailable(ReasonNoConfiguration, notReadyRetryAfter)
 	}
-	x.table = state.Table
+	x.table, x.tableAge = state.Table, s.config.Now().Sub(state.AppliedAt)
 	x.path, _, _ = strings.Cut(x.request.RequestURI, "?")
 	x.route = x.table.Match(x.request.Host, x.path)
 	if x.route == nil {
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlconn"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
@@ -75,10 +76,26 @@
 	if x.trace.confirmationAge > 0 {
 		attributes = append(attributes, slog.Duration("proof-age-ms", x.trace.confirmationAge))
 	}
+	if status == 0 || s.Draining() {
+		attributes = append(attributes, s.cutAttributes(x)...)
+	}
 	s.config.Log.Event(EventRequest, attributes...)
 	s.config.Metrics.observe(x, duration)
 }
 
+// cutAttributes returns what else happened around a request that was cut off or that ended while the daemon drains.
+func (s *Service) cutAttributes(x *exchange) []slog.Attr {
+	attributes := []slog.Attr{slog.Bool("draining", s.Draining())}
+	if x.table != nil {
+		attributes = append(attributes, slog.Duration("configuration-age-ms", x.tableAge))
+	}
+	if stats, ok := crlconn.StatsOf(x.request.Context()); ok {
+		attributes = append(attributes, slog.Duration("connection-age-ms", stats.Age), slog.Int("connection-answers", stats.Answers),
+			slog.Int64("sent-bytes", stats.WrittenBytes))
+	}
+	return attributes
+}
+
 // logVersionMarkedBad logs that the outcome of a request led to its version being marked bad in a roll-out.
 func (s *Service) logVersionMarkedBad(x *exchange, pick *crlfleet.Pick) {
 	s.config.Log.Event(EventVersionMarkedBad,
--- a/crlrouter/orders.go
+++ b/crlrouter/orders.go
@@ -44,6 +44,12 @@
 	EventStatus        crllog.Event = "rollout-status"
 )
 
+// activeTable is the routing table in force.
+type activeTable struct {
+	table     *crlroute.Table
+	appliedAt crlclock.Instant
+}
+
 // orderProcessor applies the operators' orders and holds the current routing table.
 type orderProcessor struct {
 	codec       Codec
@@ -51,7 +57,7 @@
 	rollouts    *crlrollout.Tracker
 	now         crlclock.Clock
 	logger      *crllog.Logger
-	table       atomic.Pointer[crlroute.Table]
+	current     atomic.Pointer[activeTable]
 	tableOffset crlid.Offset // offset of the record that the current table came from
 	initialised bool         // whether the orders from before this daemon's start have been applied
 }
@@ -78,12 +84,12 @@
 
 // applyTable replaces the routing table unless the current one is at least as new, by offset or by version.
 func (o *orderProcessor) applyTable(order Order) {
-	current := o.table.Load()
-	if current != nil && (order.Offset <= o.tableOffset || order.Table.Version() <= current.Version()) {
+	current := o.current.Load()
+	if current != nil && (order.Offset <= o.tableOffset || order.Table.Version() <= current.table.Version()) {
 		return
 	}
 	o.tableOffset = order.Offset
-	o.table.Store(order.Table)
+	o.current.Store(&activeTable{table: order.Table, appliedAt: o.now()})
 	o.logger.Event(EventConfiguration, slog.Int64("configuration", order.Table.Version()),
 		slog.Int64("offset", int64(order.Offset)), slog.Int("routes", order.Table.RouteCount()))
 }
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -19,6 +19,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlconn"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -162,7 +163,11 @@
 
 // state returns the routing state for a request that arrives now.
 func (r *Router) state() crlforward.State {
-	return crlforward.State{Table: r.orders.table.Load(), ConfirmedAt: r.replicas[topicOrders].ConfirmedAt()}
+	state := crlforward.State{ConfirmedAt: r.replicas[topicOrders].ConfirmedAt()}
+	if current := r.orders.current.Load(); current != nil {
+		state.Table, state.AppliedAt = current.table, current.appliedAt
+	}
+	return state
 }
 
 const (
@@ -190,6 +195,8 @@
 	EventStop   crllog.Event = "stop"
 	EventReload crllog.Event = "reload"
 	EventDrain  crllog.Event = "drain"
+	// EventUnanswered is logged when the router closes a connection after a request has begun to arrive, without an answer.
+	EventUnanswered crllog.Event = "unanswered"
 )
 
 // Run serves until ctx ends and then drains open requests. It returns nil after a drain, also if requests were cut off, and an
@@ -283,11 +290,20 @@
 	group.Add(func() error { return probe.Serve(readiness) }, func(error) { _ = probe.Close() })
 	group.Add(func() error { return probe.Serve(metrics) }, func(error) { _ = probe.Close() })
 	callerServer := &http.Server{Handler: r.service}
+	connections := crlconn.New(crlconn.Config{OnUnanswered: r.logUnanswered}, callerServer)
+	callers = connections.Listener(callers)
 	group.Add(func() error { return r.serve(taskCtx, callerServer, callers) }, func(error) { _ = callerServer.Close() })
 	group.Add(func() error { return r.drain(ctx, callerServer) }, func(error) { close(r.stop) })
 	return nil
 }
 
+// logUnanswered logs that a caller's connection was closed without an answer to its request.
+func (r *Router) logUnanswered(c crlconn.Closed) {
+	r.config.Logger.Event(EventUnanswered, slog.String("caller", c.Remote), slog.Bool("draining", r.service.Draining()),
+		slog.Duration("connection-age-ms", c.Age), slog.Int("connection-answers", c.Answers),
+		slog.Int64("request-bytes", c.ReadBytes), slog.Duration("waited-ms", c.Waited))
+}
+
 const (
 	probeHeaderTimeout   = 2 * time.Second       // limit on the time for reading the header of a readiness probe or a metrics scrape
 	initialTableTimeout  = time.Second           // how long callers' connections wait for the first configuration, which sets their limits
@@ -304,12 +320,12 @@
 // serve accepts callers' connections. It takes the limits from the first configuration if that arrives within
 // initialTableTimeout, and keeps them.
 func (r *Router) serve(ctx context.Context, server *http.Server, listener net.Listener) error {
-	for waited := time.Duration(0); r.orders.table.Load() == nil && waited < initialTableTimeout; waited += initialPollInterval {
+	for waited := time.Duration(0); r.orders.current.Load() == nil && waited < initialTableTimeout; waited += initialPollInterval {
 		crlclock.Sleep(ctx, initialPollInterval)
 	}
 	server.IdleTimeout, server.ReadHeaderTimeout = defaultIdleTimeout, defaultHeaderTimeout
-	if table := r.orders.table.Load(); table != nil {
-		limits := table.Limits()
+	if current := r.orders.current.Load(); current != nil {
+		limits := current.table.Limits()
 		server.MaxHeaderBytes = limits.HeaderBytes
 		if limits.IdleTimeout > 0 {
 			server.IdleTimeout = limits.IdleTimeout
