Close callers' connections in a drain only while no request is on them

What callers saw: a request that arrived while its router stopped ended with a closed connection and no answer.

Cause: the drain left closing to net/http, which has two gaps. Once Server.Shutdown is called, conn.serve returns right after it has read a request, without calling the handler. And SetKeepAlivesEnabled(false) closes each connection that counts as idle, which it does until the whole header of its next request is parsed. The class of fault: a connection is closed by its state as the server sees it, not by whether bytes of a request were read.

Change: crlconn.Tracker decides under the lock that every Read holds. CloseIdle and Drain first interrupt a Read that waits; if it comes back with bytes, the connection stays open and the server's read deadline is put back. So a request is answered or not read at all. The router's drain uses them in place of Shutdown and SetKeepAlivesEnabled; during a drain every answer that begins, also to a request from before it, asks to close its connection.

Evidence: TestRequestThatArrivesAtTheStopSignalIsAnswered and TestRequestThatArrivesAtTheEndOfADrainIsAnswered got `unexpected EOF` in place of an answer with the old drain, and pass now.

--- a/cmd/cranberrylock-router/main.go
+++ b/cmd/cranberrylock-router/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlcommand"
+	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crllog"
 	"github.com/cranberrylock/cranberrylock/crlrouter"
 	"github.com/cranberrylock/cranberrylock/platform"
@@ -82,6 +83,7 @@
 		}),
 		Topics: crlrouter.Topics{Orders: platform.TopicOrders, Servers: platform.TopicServers, Status: platform.TopicStatus},
 		Codec:  platform.Codec{}, Dialect: platform.Dialect{}, Logger: logger, Clock: crlclock.BootTime, Reload: load, Hangup: hangup,
+		Transport: crlforward.NewTransport(),
 	})
 	return router.Run(stop)
 }
--- a/crlconn/conn.go
+++ b/crlconn/conn.go
@@ -12,17 +12,37 @@
 	net.Conn
 	tracker    *Tracker
 	acceptedAt time.Time
+	reading    sync.Mutex // held during each Read; locked before mu
 	mu         sync.Mutex // guards the fields below
 	begunAt    time.Time  // when the first byte of the open request was read; zero without an open request
 	read       int64      // bytes read since the last answer
 	written    int64      // bytes written since the last answer
+	early      bool       // whether the first byte of the next request was read before the answer was recorded
 	answers    int        // requests that were answered
 	callerLeft bool       // whether a read failed, as it does once the caller has closed the connection
+
+	readDeadline time.Time // read deadline that the server set
+	interrupted  bool      // whether an earlier read deadline is in force, which closeIfQuiet set to end a Read that waits
 }
 
+// interruptDeadline is a time in the past. As the read deadline it ends a Read that waits.
+var interruptDeadline = time.Unix(1, 0)
+
 // Read reads bytes of a request.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.recordRead(n, len(p), err) {
+			return n, err
+		}
+	}
+}
+
+// recordRead records the result of a read into a buffer of the given size. It reports whether the read must be repeated, because
+// closeIfQuiet interrupted it although a request had begun.
+func (c *conn) recordRead(n, size int, err error) (again bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -30,11 +50,82 @@
 			c.begunAt = time.Now()
 		}
 		c.read += int64(n)
+		// While a handler runs, net/http reads a single byte to notice a caller that leaves.
+		c.early = c.early || size == 1 && c.written > 0
+	}
+	if n == 0 && isTimeout(err) && c.interrupted && !c.begunAt.IsZero() {
+		c.endInterrupt()
+		return true
 	}
 	if err != nil && !isTimeout(err) {
 		c.callerLeft = true
 	}
-	return n, err
+	return false
+}
+
+// SetReadDeadline sets the read deadline, which takes effect after an interrupt by closeIfQuiet.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = deadline
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline sets the read and the write deadline.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
+}
+
+// closeIfQuiet closes the connection unless a request has begun, or has not been preceded by another and firstToo is false. It
+// reports whether the connection is closed. No byte of a request is read from a connection that it closes.
+func (c *conn) closeIfQuiet(firstToo bool) bool {
+	if !c.interruptQuiet(firstToo) {
+		return false
+	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.requestBegun() {
+		return false
+	}
+	// The error of a connection that the server has closed meanwhile says nothing new.
+	_ = c.Close()
+	return true
+}
+
+// interruptQuiet ends a Read that waits for a request, and reports whether none has begun so far.
+func (c *conn) interruptQuiet(firstToo bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begunAt.IsZero() || c.answers == 0 && !firstToo {
+		return false
+	}
+	c.interrupted = true
+	// The error of a closed connection needs no handling, as its Read has ended.
+	_ = c.Conn.SetReadDeadline(interruptDeadline)
+	return true
+}
+
+// requestBegun reports, after interruptQuiet, whether a request has begun after all. It ends the interrupt in that case.
+func (c *conn) requestBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begunAt.IsZero() {
+		return false
+	}
+	c.endInterrupt()
+	return true
+}
+
+// endInterrupt puts the server's read deadline back in force. c.mu must be held.
+func (c *conn) endInterrupt() {
+	if c.interrupted {
+		c.interrupted = false
+		// If the deadline can't be set, the connection is closed and its next Read fails.
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
 }
 
 // Write writes bytes of an answer.
@@ -86,6 +177,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begunAt, c.read, c.written = time.Time{}, 0, 0
+	if c.early {
+		c.begunAt, c.read, c.early = time.Now(), 1, false
+	}
 	c.answers++
 }
 
--- a/crlconn/doc.go
+++ b/crlconn/doc.go
@@ -1,5 +1,10 @@
-// Package crlconn tracks the connections that an HTTP server has accepted.
+// Package crlconn tracks the connections that an HTTP server has accepted, and closes them without losing a request.
 //
-// A Tracker knows for each connection whether bytes of a request have arrived since the last answer. It reports connections
-// that are closed at that point, since their callers get no answer and no handler of the server may have seen the request.
+// A Tracker knows for each connection whether bytes of a request have arrived since the last answer. Its CloseIdle and Drain
+// close only connections without such bytes, and read none while they do, so that a request is either answered or not read at
+// all. net/http gives no such guarantee: Server.Shutdown drops a request that is read after its call, and Server.SetKeepAlivesEnabled
+// closes a connection whose request's header has only partly arrived.
+//
+// A Tracker also reports connections that are closed for any other reason before any byte of an answer was written, since no
+// handler of the server may have seen their requests.
 package crlconn
--- a/crlconn/tracker.go
+++ b/crlconn/tracker.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
 )
 
 // Closed describes a connection that this process closed after bytes of a request had arrived and before any byte of the answer
@@ -85,6 +90,45 @@
 	return c, nil
 }
 
+// CloseIdle closes the connections that have answered a request and on which no further one has begun.
+func (t *Tracker) CloseIdle() {
+	for _, c := range t.snapshot() {
+		c.closeIfQuiet(false)
+	}
+}
+
+// Drain closes connections on which no request has begun, and waits until the others have answered theirs, until ctx ends. It
+// returns nil if no connection is left. The listener must be closed before.
+//
+// Unlike http.Server.Shutdown, it never closes a connection whose request was read without an answer.
+func (t *Tracker) Drain(ctx context.Context) error {
+	for {
+		open := 0
+		for _, c := range t.snapshot() {
+			if !c.closeIfQuiet(true) {
+				open++
+			}
+		}
+		if open == 0 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("drain %d connections with open requests: %w", open, ctx.Err())
+		}
+		crlclock.Sleep(ctx, drainInterval)
+	}
+}
+
+// drainInterval is the time between two attempts of Drain to close the connections that are left.
+const drainInterval = 20 * time.Millisecond
+
+// snapshot returns the connections that are open now.
+func (t *Tracker) snapshot() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.open))
+}
+
 // remove stops tracking a connection and reports whether it was tracked.
 func (t *Tracker) remove(c *conn) bool {
 	t.mu.Lock()
--- a/crlconn/tracker_test.go
+++ b/crlconn/tracker_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,3 +126,100 @@
 		t.Errorf("the second request's connection is %+v, want %+v", stats, want)
 	}
 }
+
+// contestedConn is a connection on which the bytes of a request arrive at the moment in which a Read is interrupted.
+type contestedConn struct {
+	net.Conn
+	deadlines chan time.Time // read deadlines that were set
+	packets   []string       // what further reads return
+}
+
+func (c *contestedConn) Read(p []byte) (int, error) {
+	if deadline := <-c.deadlines; len(c.packets) == 2 || !deadline.Equal(interruptDeadline) {
+		n := copy(p, c.packets[0])
+		c.packets = c.packets[1:]
+		if len(c.packets) == 1 {
+			c.deadlines <- deadline // The interrupt is still in force for the next Read.
+		}
+		return n, nil
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (c *contestedConn) SetReadDeadline(deadline time.Time) error {
+	c.deadlines <- deadline
+	return nil
+}
+
+// TestRequestThatArrivesWhileItsConnectionIsClosedIsRead guards against losing a request between the decision to close an idle
+// connection and its close: a Read that already has bytes wins, and the rest of the request can be read.
+func TestRequestThatArrivesWhileItsConnectionIsClosedIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := New(Config{}, &http.Server{})
+		c := &conn{Conn: &contestedConn{deadlines: make(chan time.Time, 4), packets: []string{"GET", " /"}}, tracker: tracker}
+		read := make(chan string, 1)
+		go func() {
+			var text string
+			for len(text) < len("GET /") {
+				p := make([]byte, 8)
+				n, err := c.Read(p)
+				if err != nil {
+					t.Errorf("read after %q: %v", text, err)
+					break
+				}
+				text += string(p[:n])
+			}
+			read <- text
+		}()
+		synctest.Wait()
+		if c.closeIfQuiet(true) {
+			t.Error("a connection with a request was closed")
+		}
+		if text := <-read; text != "GET /" {
+			t.Errorf("read %q, want the whole request", text)
+		}
+	})
+}
+
+// TestCloseIdle checks which connections CloseIdle closes: those that were used and have no further request.
+func TestCloseIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })}
+		tracker := New(Config{}, server)
+		l := newPipeListener()
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(tracker.Listener(l)) }()
+		idle, unused, busy, arriving := l.dial(), l.dial(), l.dial(), l.dial()
+		exchange(t, idle)
+		exchange(t, arriving)
+		for c, part := range map[net.Conn]string{busy: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", arriving: "GET / HTT"} {
+			if _, err := io.WriteString(c, part); err != nil {
+				t.Fatal(err)
+			}
+		}
+		synctest.Wait()
+		tracker.CloseIdle()
+		synctest.Wait()
+		if _, err := idle.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("read from an idle connection: got error %v, want %v", err, io.EOF)
+		}
+		exchange(t, unused)
+		for c, rest := range map[net.Conn]string{busy: "", arriving: "P/1.1\r\nHost: h\r\n\r\n"} {
+			if _, err := io.WriteString(c, rest); err != nil {
+				t.Errorf("send the rest of a request: %v", err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("read the answer on a connection with a request: %v", err)
+				continue
+			}
+			_ = response.Body.Close()
+		}
+		if err := server.Close(); err != nil {
+			t.Errorf("close the server: %v", err)
+		}
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("serve: %v", err)
+		}
+	})
+}
--- a/crlforward/explain_test.go
+++ b/crlforward/explain_test.go
@@ -80,10 +80,9 @@
 func TestLinesOfCutRequestsTellTheDaemonsState(t *testing.T) {
 	c := newCluster(breaksAfter(events(1, 2)))
 	c.service.Drain()
-	func() {
-		defer func() { _ = recover() }() // The abort of the connection is a panic.
-		c.call(t.Context(), "/once/1", nil)
-	}()
+	if _, aborted := c.call(t.Context(), "/once/1", nil); !aborted {
+		t.Error("a stream that breaks and can't go on is not aborted")
+	}
 	l := c.findLine(t)
 	if l.Status != 0 || l.Draining == nil || !*l.Draining || l.ConfigurationAge == nil {
 		t.Errorf("line %+v does not show a request that was cut while the daemon drained, and the age of the configuration", l)
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// Drain makes every answer to a request that arrives from now on close its connection. Requests are still forwarded.
+// Drain makes every answer that begins from now on close its connection. Requests are still forwarded.
 func (s *Service) Drain() { s.draining.Store(true) }
 
 // Close makes the service refuse every request that arrives from now on. It is for the last part of a shutdown, when new
@@ -114,12 +114,9 @@
 // ServeHTTP forwards one request and writes the answer or a refusal. It panics with http.ErrAbortHandler when an answer was
 // partly sent and can't be completed.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{request: r, writer: w, arrived: time.Now(), tried: make(map[crlid.Server]bool)}
+	x := &exchange{request: r, writer: &drainingWriter{ResponseWriter: w, service: s}, arrived: time.Now(), tried: make(map[crlid.Server]bool)}
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if s.closed.Load() {
 		s.refuse(x, unavailable(ReasonDraining, drainingRetryAfter))
 		return
@@ -137,6 +134,23 @@
 	s.finishAnswered(x)
 }
 
+// drainingWriter asks the caller to close the connection after an answer whose header is written while the service drains.
+type drainingWriter struct {
+	http.ResponseWriter
+	service *Service
+}
+
+// WriteHeader writes the header of the answer.
+func (w *drainingWriter) WriteHeader(status int) {
+	if w.service.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the server's writer, for http.ResponseController.
+func (w *drainingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // admit runs the filters that come before the first send, and returns the refusal of the first one that refuses.
 func (s *Service) admit(ctx context.Context, x *exchange) *Refusal {
 	for _, filter := range []func(context.Context, *exchange) *Refusal{
--- /dev/null
+++ b/crlrouter/callers.go
@@ -0,0 +1,106 @@
+package crlrouter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlconn"
+)
+
+const (
+	initialTableTimeout  = time.Second     // how long callers' connections wait for the first configuration, which sets their limits
+	defaultIdleTimeout   = time.Minute     // idle timeout until a configuration sets one
+	defaultHeaderTimeout = 3 * time.Second // header timeout until a configuration sets one
+	// drainAcceptDuration gives the load balancer time for two failed readiness probes. A request that is accepted later than
+	// 3 s after the stop signal must not be cut off, so the router refuses all requests somewhat earlier.
+	drainAcceptDuration = 2500 * time.Millisecond
+	shutdownMargin      = 400 * time.Millisecond // reserved at the end of the grace time for the process to exit
+	drainPollInterval   = 20 * time.Millisecond
+)
+
+// callerServer serves callers' requests.
+type callerServer struct {
+	router      *Router
+	http        *http.Server
+	listener    net.Listener
+	connections *crlconn.Tracker
+}
+
+func (r *Router) newCallerServer(listener net.Listener) *callerServer {
+	s := &callerServer{router: r, http: &http.Server{Handler: r.service}}
+	s.connections = crlconn.New(crlconn.Config{OnUnanswered: r.logUnanswered}, s.http)
+	s.listener = s.connections.Listener(listener)
+	return s
+}
+
+// serve accepts callers' connections until the listener is closed, and then waits for the end of ctx. It takes the limits from
+// the first configuration if that arrives within initialTableTimeout, and keeps them.
+func (s *callerServer) serve(ctx context.Context) error {
+	table := &s.router.orders.current
+	for waited := time.Duration(0); table.Load() == nil && waited < initialTableTimeout; waited += initialPollInterval {
+		crlclock.Sleep(ctx, initialPollInterval)
+	}
+	s.http.IdleTimeout, s.http.ReadHeaderTimeout = defaultIdleTimeout, defaultHeaderTimeout
+	if current := table.Load(); current != nil {
+		limits := current.table.Limits()
+		s.http.MaxHeaderBytes = limits.HeaderBytes
+		if limits.IdleTimeout > 0 {
+			s.http.IdleTimeout = limits.IdleTimeout
+		}
+		if limits.HeaderTimeout > 0 {
+			s.http.ReadHeaderTimeout = limits.HeaderTimeout
+		}
+	}
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("serve callers' requests: %w", err)
+	}
+	<-ctx.Done() // The listener is closed, but open requests continue until the drain ends.
+	return ctx.Err()
+}
+
+var errDrained = errors.New("drained")
+
+// drain waits for the end of ctx. It then goes on accepting requests for drainAcceptDuration, until the load balancer has
+// noticed the failed readiness probes, and completes the open ones within the grace time.
+func (s *callerServer) drain(ctx context.Context) error {
+	r := s.router
+	select {
+	case <-ctx.Done():
+	case <-r.stop:
+		return errDrained
+	}
+	start := time.Now()
+	r.service.Drain()
+	r.config.Logger.Event(EventDrain, slog.Int("open-requests", r.service.OpenRequests()))
+	// Callers reconnect through the load balancer.
+	s.connections.CloseIdle()
+	time.Sleep(drainAcceptDuration)
+	r.service.Close()
+	s.connections.CloseIdle()
+	end := start.Add(r.config.Settings.Bounds.Grace - shutdownMargin)
+	for time.Now().Before(end) && r.service.OpenRequests() > 0 {
+		time.Sleep(drainPollInterval)
+	}
+	if err := s.listener.Close(); err != nil {
+		return fmt.Errorf("%w, and closing the listener failed: %w", errDrained, err)
+	}
+	remaining, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
+	defer cancel()
+	if err := s.connections.Drain(remaining); err != nil {
+		return fmt.Errorf("%w with connections cut off: %w", errDrained, err)
+	}
+	return errDrained
+}
+
+// logUnanswered logs that a caller's connection was closed without an answer to its request.
+func (r *Router) logUnanswered(c crlconn.Closed) {
+	r.config.Logger.Event(EventUnanswered, slog.String("caller", c.Remote), slog.Bool("draining", r.service.Draining()),
+		slog.Duration("connection-age-ms", c.Age), slog.Int("connection-answers", c.Answers),
+		slog.Int64("request-bytes", c.ReadBytes), slog.Duration("waited-ms", c.Waited))
+}
--- /dev/null
+++ b/crlrouter/callers_test.go
@@ -0,0 +1,199 @@
+package crlrouter
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlroute"
+)
+
+// pipeListener hands out the router's ends of in-memory connections.
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// routeCodec decodes each order into a table with one route, to the only server.
+type routeCodec struct{ testCodec }
+
+func (routeCodec) DecodeOrder(r crlplatform.KeyedRecord) (Order, error) {
+	table := crlroute.NewTable(crlroute.TableConfig{
+		Version: 1, Services: []crlroute.Service{{Name: "s"}},
+		Routes: []crlroute.Route{{
+			Name: "file", Host: "h", Prefix: "/", Kind: crlroute.KindNonIdempotent, Attempts: 1,
+			Targets: []crlroute.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	return Order{Offset: r.Offset, Table: table}, nil
+}
+
+// silentServer accepts every request and never answers.
+type silentServer struct{}
+
+func (silentServer) RoundTrip(r *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// drainingRouter is a router whose callers connect over pipes.
+type drainingRouter struct {
+	*Router
+	listener *pipeListener
+	signal   context.CancelFunc // sends the stop signal
+	stopped  chan error         // gets the result of the drain
+}
+
+// testDrain runs a test against a router with a grace time of eight seconds, whose only backend server never answers.
+func testDrain(t *testing.T, test func(t *testing.T, r *drainingRouter)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		store.put("orders", "config", "1")
+		store.put("servers", "i-1", "v1")
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(store)
+		c.codec, c.transport, c.grace = routeCodec{}, silentServer{}, 8*time.Second
+		r := &drainingRouter{Router: c.start(ctx, 0), listener: newPipeListener(), stopped: make(chan error, 1)}
+		time.Sleep(5 * time.Second)
+		stop, signal := context.WithCancel(ctx)
+		r.signal = signal
+		server := r.newCallerServer(r.listener)
+		served := make(chan error, 1)
+		go func() { served <- server.serve(ctx) }()
+		go func() {
+			err := server.drain(stop)
+			_ = server.http.Close() // as Run does
+			r.stopped <- err
+		}()
+		test(t, r)
+		cancel()
+		if err := <-served; !errors.Is(err, context.Canceled) {
+			t.Errorf("serve: got error %v, want that of the ended context", err)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// dial returns the caller's end of a new connection.
+func (r *drainingRouter) dial() net.Conn {
+	caller, server := net.Pipe()
+	r.listener.accepted <- server
+	return caller
+}
+
+// Two parts of a request, as they may arrive in two packets.
+const (
+	firstPart  = "GET /page HTTP/1.1\r\nHost: h\r\n"
+	secondPart = "X-Deadline: 20000\r\n\r\n"
+)
+
+// send writes a part of a request.
+func send(t *testing.T, c net.Conn, part string) {
+	t.Helper()
+	if _, err := io.WriteString(c, part); err != nil {
+		t.Errorf("send %q: %v", part, err)
+	}
+}
+
+// answer returns the status of the answer to the request that was sent last, and an error if the connection ends without one.
+func answer(c net.Conn) (status int, err error) {
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return response.StatusCode, err
+}
+
+// TestRequestThatArrivesAtTheStopSignalIsAnswered guards against a drain that closes a kept connection as idle while the header
+// of its next request is arriving.
+func TestRequestThatArrivesAtTheStopSignalIsAnswered(t *testing.T) {
+	testDrain(t, func(t *testing.T, r *drainingRouter) {
+		c := r.dial()
+		send(t, c, "GET /none HTTP/1.1\r\nHost: other\r\n\r\n")
+		if status, err := answer(c); status != http.StatusNotFound || err != nil {
+			t.Fatalf("first request: got status %d, error %v", status, err)
+		}
+		send(t, c, "GET /none HTTP/1.1\r\n")
+		time.Sleep(time.Millisecond)
+		r.signal()
+		time.Sleep(time.Millisecond)
+		send(t, c, "Host: other\r\n\r\n")
+		if status, err := answer(c); status != http.StatusNotFound || err != nil {
+			t.Errorf("request that was arriving at the stop signal: got status %d, error %v, want 404", status, err)
+		}
+		if err := <-r.stopped; !errors.Is(err, errDrained) {
+			t.Errorf("drain: got error %v, want %v", err, errDrained)
+		}
+	})
+}
+
+// TestRequestThatArrivesAtTheEndOfADrainIsAnswered guards against a drain whose last part drops requests that are still arriving.
+func TestRequestThatArrivesAtTheEndOfADrainIsAnswered(t *testing.T) {
+	testDrain(t, func(t *testing.T, r *drainingRouter) {
+		r.signal()
+		time.Sleep(drainAcceptDuration - time.Millisecond)
+		c := r.dial()
+		send(t, c, firstPart)
+		time.Sleep(100 * time.Millisecond)
+		send(t, c, secondPart)
+		if status, err := answer(c); status != http.StatusServiceUnavailable || err != nil {
+			t.Errorf("request that was arriving when the router began to refuse: got status %d, error %v, want 503", status, err)
+		}
+		if err := <-r.stopped; !errors.Is(err, errDrained) {
+			t.Errorf("drain: got error %v, want %v", err, errDrained)
+		}
+	})
+}
+
+// TestDrainClosesQuietConnections checks that connections without a request don't hold up the end of a drain.
+func TestDrainClosesQuietConnections(t *testing.T) {
+	testDrain(t, func(t *testing.T, r *drainingRouter) {
+		unused := r.dial()
+		start := time.Now()
+		r.signal()
+		if err := <-r.stopped; !errors.Is(err, errDrained) {
+			t.Errorf("drain: got error %v, want %v", err, errDrained)
+		}
+		if lasted := time.Since(start); lasted > drainAcceptDuration+time.Second {
+			t.Errorf("a drain without requests took %s", lasted)
+		}
+		if _, err := unused.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("read from an unused connection after the drain: got error %v, want %v", err, io.EOF)
+		}
+	})
+}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -19,7 +19,6 @@
 
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
-	"github.com/cranberrylock/cranberrylock/crlconn"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -45,7 +44,9 @@
 	Dialect  crlforward.Dialect
 	Logger   *crllog.Logger
 	Peers    crlrelay.Caller // calls other routers; nil for TCP
-	Clock    crlclock.Clock  // for ages of confirmations; must advance while the VM is suspended
+	// Transport carries sends to backend servers.
+	Transport http.RoundTripper
+	Clock     crlclock.Clock // for ages of confirmations; must advance while the VM is suspended
 	// Hangup receives SIGHUP when the settings have changed. The caller must register it when the process starts, as the signal
 	// ends a process that does not handle it.
 	Hangup <-chan os.Signal
@@ -134,7 +135,7 @@
 		Retries: crlbudget.NewRetryBudget(crlbudget.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Share: r.members.share,
 		}),
-		Transport: crlforward.NewTransport(), Log: config.Logger, Metrics: crlforward.NewMetrics(r.registry),
+		Transport: config.Transport, Log: config.Logger, Metrics: crlforward.NewMetrics(r.registry),
 		Now: config.Clock, MaxConfirmationAge: confirmationAge, SessionTimeout: s.Bounds.SessionTimeout,
 		// Open requests may use half of the memory limit.
 		MaxOpenRequests: max(int(float64(s.MemoryBytes)*memoryLimitFraction/2/requestMemoryBytes), minOpenRequests),
@@ -289,58 +290,17 @@
 	probe := &http.Server{Handler: r.probeHandler(), ReadHeaderTimeout: probeHeaderTimeout}
 	group.Add(func() error { return probe.Serve(readiness) }, func(error) { _ = probe.Close() })
 	group.Add(func() error { return probe.Serve(metrics) }, func(error) { _ = probe.Close() })
-	callerServer := &http.Server{Handler: r.service}
-	connections := crlconn.New(crlconn.Config{OnUnanswered: r.logUnanswered}, callerServer)
-	callers = connections.Listener(callers)
-	group.Add(func() error { return r.serve(taskCtx, callerServer, callers) }, func(error) { _ = callerServer.Close() })
-	group.Add(func() error { return r.drain(ctx, callerServer) }, func(error) { close(r.stop) })
+	server := r.newCallerServer(callers)
+	group.Add(func() error { return server.serve(taskCtx) }, func(error) { _ = server.http.Close() })
+	group.Add(func() error { return server.drain(ctx) }, func(error) { close(r.stop) })
 	return nil
 }
 
-// logUnanswered logs that a caller's connection was closed without an answer to its request.
-func (r *Router) logUnanswered(c crlconn.Closed) {
-	r.config.Logger.Event(EventUnanswered, slog.String("caller", c.Remote), slog.Bool("draining", r.service.Draining()),
-		slog.Duration("connection-age-ms", c.Age), slog.Int("connection-answers", c.Answers),
-		slog.Int64("request-bytes", c.ReadBytes), slog.Duration("waited-ms", c.Waited))
-}
-
 const (
-	probeHeaderTimeout   = 2 * time.Second       // limit on the time for reading the header of a readiness probe or a metrics scrape
-	initialTableTimeout  = time.Second           // how long callers' connections wait for the first configuration, which sets their limits
-	initialPollInterval  = 10 * time.Millisecond // time between checks for what must be loaded first
-	defaultIdleTimeout   = time.Minute           // idle timeout until a configuration sets one
-	defaultHeaderTimeout = 3 * time.Second       // header timeout until a configuration sets one
-	// drainAcceptDuration gives the load balancer time for two failed readiness probes. A request that is accepted later than
-	// 3 s after the stop signal must not be cut off, so the router refuses all requests somewhat earlier.
-	drainAcceptDuration = 2500 * time.Millisecond
-	shutdownMargin      = 400 * time.Millisecond // reserved at the end of the grace time for the process to exit
-	drainPollInterval   = 20 * time.Millisecond
+	probeHeaderTimeout  = 2 * time.Second       // limit on the time for reading the header of a readiness probe or a metrics scrape
+	initialPollInterval = 10 * time.Millisecond // time between checks for what must be loaded first
 )
 
-// serve accepts callers' connections. It takes the limits from the first configuration if that arrives within
-// initialTableTimeout, and keeps them.
-func (r *Router) serve(ctx context.Context, server *http.Server, listener net.Listener) error {
-	for waited := time.Duration(0); r.orders.current.Load() == nil && waited < initialTableTimeout; waited += initialPollInterval {
-		crlclock.Sleep(ctx, initialPollInterval)
-	}
-	server.IdleTimeout, server.ReadHeaderTimeout = defaultIdleTimeout, defaultHeaderTimeout
-	if current := r.orders.current.Load(); current != nil {
-		limits := current.table.Limits()
-		server.MaxHeaderBytes = limits.HeaderBytes
-		if limits.IdleTimeout > 0 {
-			server.IdleTimeout = limits.IdleTimeout
-		}
-		if limits.HeaderTimeout > 0 {
-			server.ReadHeaderTimeout = limits.HeaderTimeout
-		}
-	}
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve callers' requests: %w", err)
-	}
-	<-ctx.Done() // The server is shut down, but open requests continue until the drain ends.
-	return ctx.Err()
-}
-
 // probeHandler serves the readiness probe and the metrics.
 func (r *Router) probeHandler() http.Handler {
 	e := echo.New()
@@ -365,34 +325,3 @@
 	state := r.state()
 	return state.Table != nil && !r.service.Draining()
 }
-
-var errDrained = errors.New("drained")
-
-// drain waits for the end of ctx. It then goes on accepting requests for drainAcceptDuration, until the load balancer has
-// noticed the failed readiness probes, and completes the open ones within the grace time.
-func (r *Router) drain(ctx context.Context, server *http.Server) error {
-	select {
-	case <-ctx.Done():
-	case <-r.stop:
-		return errDrained
-	}
-	start := time.Now()
-	r.service.Drain()
-	r.config.Logger.Event(EventDrain, slog.Int("open-requests", r.service.OpenRequests()))
-	// Closing idle connections makes callers reconnect through the load balancer.
-	server.SetKeepAlivesEnabled(false)
-	grace := r.config.Settings.Bounds.Grace - shutdownMargin
-	for time.Since(start) < drainAcceptDuration {
-		time.Sleep(drainPollInterval)
-	}
-	r.service.Close()
-	for time.Since(start) < grace && r.service.OpenRequests() > 0 {
-		time.Sleep(drainPollInterval)
-	}
-	remaining, cancel := context.WithTimeout(context.Background(), max(grace-time.Since(start), drainPollInterval))
-	defer cancel()
-	if err := server.Shutdown(remaining); err != nil {
-		return fmt.Errorf("%w with open requests cut off: %w", errDrained, err)
-	}
-	return errDrained
-}
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -99,13 +99,16 @@
 
 // cluster starts the background tasks of routers on one store, without their listeners.
 type cluster struct {
-	store   *memoryStore
-	network *peerNetwork
-	clock   crlclock.Clock
+	store     *memoryStore
+	network   *peerNetwork
+	clock     crlclock.Clock
+	codec     Codec
+	transport http.RoundTripper // carries sends to backend servers
+	grace     time.Duration     // Bounds.Grace of the routers
 }
 
 func newCluster(store *memoryStore) *cluster {
-	return &cluster{store: store, network: &peerNetwork{servers: make(map[string]*crlrelay.Server)}, clock: crlclock.NewMonotonic()}
+	return &cluster{store: store, network: &peerNetwork{servers: make(map[string]*crlrelay.Server)}, clock: crlclock.NewMonotonic(), codec: testCodec{}}
 }
 
 func address(n int) string { return fmt.Sprintf("10.0.0.%d:1", n) }
@@ -115,10 +118,10 @@
 	started := New(Config{
 		Settings: &Settings{
 			Daemon: crlid.Daemon(address(n)), Domain: "near", PeerListen: address(n), Seeds: seeds, Strength: n,
-			Bounds: Bounds{RetryWindow: 10 * time.Second},
+			Bounds: Bounds{RetryWindow: 10 * time.Second, Grace: c.grace},
 		},
 		Store: c.store.storeView(n), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
-		Codec: testCodec{}, Dialect: testDialect{}, Peers: c.network,
+		Codec: c.codec, Dialect: testDialect{}, Peers: c.network, Transport: c.transport,
 		Logger: crllog.New(crllog.Config{Output: io.Discard}), Clock: c.clock,
 		Reload: func() (*Settings, error) { return nil, errors.New("no file") },
 	})
@@ -439,7 +442,7 @@
 		r.config.Settings.Bounds.Grace = 8 * time.Second
 		ctx, signal := context.WithCancel(context.Background())
 		done := make(chan error, 1)
-		go func() { done <- r.drain(ctx, &http.Server{}) }()
+		go func() { done <- r.newCallerServer(newPipeListener()).drain(ctx) }()
 		signal()
 		answer := func() string {
 			recorder := httptest.NewRecorder()
