Answer the requests that are open when the grace time of a stop ends

What callers saw: a request that was still open at the end of the grace time ended with a closed connection and no answer, also when no byte of an answer had been sent to its caller: while it waited in a backend server's queue, between two sends, or for the larger model although a complete answer of the smaller one was held.

Cause: the drain ended with a close of all connections. The class of fault: a deadline of the process was not a deadline of its requests.

Change: 150 ms before that close the router aborts what is open. crlforward.Service.Abort ends the contexts of the requests; whoever got no part of an answer gets a complete one: the held answer, 502 when a server may have run the request, or 503 when none has. A stream that has begun is cut as before, since nothing can complete it. Each aborted request has its log line, and the event `abort` counts them.

--- a/crlforward/drain_test.go
+++ b/crlforward/drain_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // TestAnswerThatBeginsDuringADrainClosesItsConnection guards against callers that send their next request on a connection which
@@ -20,3 +23,36 @@
 		}
 	}
 }
+
+// TestAbortAnswersRequests guards against requests that end without an answer when the grace time of a drain is over: whoever got
+// no part of an answer gets a complete one.
+func TestAbortAnswersRequests(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		path       string
+		header     map[string]string
+		steps      []step
+		wantStatus int
+		wantBody   string
+	}{
+		{"may have run", "/file/1", nil, []step{hangs}, http.StatusBadGateway, ReasonDraining},
+		{"stream without its first event", "/draft/1", nil, []step{hangs}, http.StatusBadGateway, ReasonDraining},
+		{
+			"smaller model has answered", "/draft/1",
+			map[string]string{"X-Output": "30"},
+			[]step{answersWithConfidence(10, events(1, 2)), hangs},
+			http.StatusOK, events(1, 2),
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(tc.steps...)
+				time.AfterFunc(500*time.Millisecond, c.service.Abort)
+				recorder, aborted := c.call(t.Context(), tc.path, tc.header)
+				if got := strings.TrimSpace(recorder.Body.String()); aborted || recorder.Code != tc.wantStatus || got != strings.TrimSpace(tc.wantBody) {
+					t.Errorf("got status %d, body %q, aborted %v, want status %d, body %q", recorder.Code, got, aborted, tc.wantStatus, tc.wantBody)
+				}
+			})
+		})
+	}
+}
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -86,6 +86,8 @@
 		return newRefusal(http.StatusGatewayTimeout, reason)
 	case x.mayHaveRun:
 		return newRefusal(http.StatusBadGateway, reason)
+	case reason == ReasonDraining:
+		return unavailable(reason, drainingRetryAfter)
 	default:
 		return unavailable(reason, overloadRetryAfter)
 	}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -53,13 +53,19 @@
 	openRequests atomic.Int64
 	draining     atomic.Bool
 	closed       atomic.Bool
+	abort        context.CancelFunc
+	onAbort      func(func()) (remove func() bool) // registers a function that abort calls
 }
 
 // New returns a service, which needs no further start.
 func New(config Config) *Service {
-	return &Service{
+	s := &Service{
 		config: config, sessions: newSessions(config.SessionTimeout), timeFactors: newTimeFactors(), probes: newProbes(config.Probe),
 	}
+	open, abort := context.WithCancel(context.Background())
+	s.abort = abort
+	s.onAbort = func(end func()) (remove func() bool) { return context.AfterFunc(open, end) }
+	return s
 }
 
 // Drain makes every answer that begins from now on close its connection. Requests are still forwarded.
@@ -69,6 +75,13 @@
 // requests would not end before the process does. Requests that are open continue.
 func (s *Service) Close() { s.closed.Store(true) }
 
+// errAborted is the cause with which Abort ends the contexts of requests.
+var errAborted = errors.New("daemon stops")
+
+// Abort ends all open requests. A request that has got no part of an answer gets a complete one: its fallback answer or a refusal
+// that tells whether it may have run.
+func (s *Service) Abort() { s.abort() }
+
 // Draining reports whether Drain was called.
 func (s *Service) Draining() bool { return s.draining.Load() }
 
@@ -123,6 +136,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
+	defer s.onAbort(func() { cancel(errAborted) })()
 	refusal := s.admit(ctx, x)
 	if refusal == nil {
 		refusal = s.forward(ctx, x)
@@ -336,6 +350,8 @@
 		return ReasonRouteTimeout
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return ReasonDeadline
+	case errors.Is(context.Cause(ctx), errAborted):
+		return ReasonDraining
 	default:
 		return ReasonCallerLeft
 	}
--- a/crlrouter/callers.go
+++ b/crlrouter/callers.go
@@ -21,6 +21,7 @@
 	// 3 s after the stop signal must not be cut off, so the router refuses all requests somewhat earlier.
 	drainAcceptDuration = 2500 * time.Millisecond
 	shutdownMargin      = 400 * time.Millisecond // reserved at the end of the grace time for the process to exit
+	abortDuration       = 150 * time.Millisecond // reserved before shutdownMargin for answering the requests that are aborted
 	drainPollInterval   = 20 * time.Millisecond
 )
 
@@ -67,7 +68,8 @@
 var errDrained = errors.New("drained")
 
 // drain waits for the end of ctx. It then goes on accepting requests for drainAcceptDuration, until the load balancer has
-// noticed the failed readiness probes, and completes the open ones within the grace time.
+// noticed the failed readiness probes, and completes the open ones within the grace time. Requests that are still open then are
+// aborted, which answers those that got nothing of an answer yet.
 func (s *callerServer) drain(ctx context.Context) error {
 	r := s.router
 	select {
@@ -83,16 +85,23 @@
 	time.Sleep(drainAcceptDuration)
 	r.service.Close()
 	s.connections.CloseIdle()
-	end := start.Add(r.config.Settings.Bounds.Grace - shutdownMargin)
-	for time.Now().Before(end) && r.service.OpenRequests() > 0 {
+	abortAt := start.Add(r.config.Settings.Bounds.Grace - shutdownMargin - abortDuration)
+	for time.Now().Before(abortAt) && r.service.OpenRequests() > 0 {
 		time.Sleep(drainPollInterval)
 	}
 	if err := s.listener.Close(); err != nil {
 		return fmt.Errorf("%w, and closing the listener failed: %w", errDrained, err)
 	}
-	remaining, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
+	beforeAbort, cancel := context.WithDeadline(context.WithoutCancel(ctx), abortAt)
 	defer cancel()
-	if err := s.connections.Drain(remaining); err != nil {
+	if s.connections.Drain(beforeAbort) == nil {
+		return errDrained
+	}
+	r.config.Logger.Event(EventAbort, slog.Int("open-requests", r.service.OpenRequests()))
+	r.service.Abort()
+	afterAbort, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortDuration)
+	defer cancel()
+	if err := s.connections.Drain(afterAbort); err != nil {
 		return fmt.Errorf("%w with connections cut off: %w", errDrained, err)
 	}
 	return errDrained
--- a/crlrouter/callers_test.go
+++ b/crlrouter/callers_test.go
@@ -118,6 +118,7 @@
 const (
 	firstPart  = "GET /page HTTP/1.1\r\nHost: h\r\n"
 	secondPart = "X-Deadline: 20000\r\n\r\n"
+	wholeGet   = firstPart + secondPart
 )
 
 // send writes a part of a request.
@@ -180,6 +181,27 @@
 	})
 }
 
+// TestRequestThatIsOpenAtTheEndOfTheGraceTimeIsAnswered guards against a drain that ends by closing connections: a request that
+// got nothing of an answer yet is told that its outcome is unknown.
+func TestRequestThatIsOpenAtTheEndOfTheGraceTimeIsAnswered(t *testing.T) {
+	testDrain(t, func(t *testing.T, r *drainingRouter) {
+		r.signal()
+		start := time.Now()
+		c := r.dial()
+		send(t, c, wholeGet)
+		status, err := answer(c)
+		if status != http.StatusBadGateway || err != nil {
+			t.Errorf("request at a silent server: got status %d, error %v at the end of the grace time, want 502", status, err)
+		}
+		if err := <-r.stopped; !errors.Is(err, errDrained) {
+			t.Errorf("drain: got error %v, want %v", err, errDrained)
+		}
+		if lasted := time.Since(start); lasted > 8*time.Second-shutdownMargin {
+			t.Errorf("the drain took %s, want at least %s left of the grace time", lasted, shutdownMargin)
+		}
+	})
+}
+
 // TestDrainClosesQuietConnections checks that connections without a request don't hold up the end of a drain.
 func TestDrainClosesQuietConnections(t *testing.T) {
 	testDrain(t, func(t *testing.T, r *drainingRouter) {
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -196,6 +196,7 @@
 	EventStop   crllog.Event = "stop"
 	EventReload crllog.Event = "reload"
 	EventDrain  crllog.Event = "drain"
+	EventAbort  crllog.Event = "abort" // logged when the grace time ends with open requests
 	// EventUnanswered is logged when the router closes a connection after a request has begun to arrive, without an answer.
 	EventUnanswered crllog.Event = "unanswered"
 )
