Stop daemons without dropping a request that they have read

What callers saw: a request that was still arriving while a daemon stopped gracefully ended with a closed connection and no answer.

Daemon.awaitStop left closing to http.Server.Shutdown, which closes connections whose request is read after its call.

Change: the daemon closes its listener and drains its connections with crlconn.Tracker, which answers what was read.

--- a/crldaemon/serve.go
+++ b/crldaemon/serve.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrylock/cranberrylock/crladmin"
+	"github.com/cranberrylock/cranberrylock/crlconn"
 	"github.com/cranberrylock/cranberrylock/crlengine"
 	"github.com/cranberrylock/cranberrylock/crlentry"
 	"github.com/cranberrylock/cranberrylock/crlmember"
@@ -65,6 +66,8 @@
 	callers := newHTTPServer(d.closeWhileDraining(crlentry.NewServer(crlentry.ServerConfig{
 		Service: d.entry, MaxBodyBytes: d.config.Settings.Limits.BodyBytes,
 	})))
+	connections := crlconn.New(crlconn.Config{OnUnanswered: logUnanswered}, callers)
+	sockets.callers = connections.Listener(sockets.callers)
 	admin := newHTTPServer(d.newAdmin())
 	running, cancel := context.WithCancel(base)
 	defer cancel()
@@ -74,7 +77,7 @@
 	add(func() error { return d.mux.Serve(running, sockets.peers) })
 	group.Add(func() error { return serveHTTP(running, callers, sockets.callers) }, func(error) { _ = callers.Close() })
 	group.Add(func() error { return serveHTTP(running, admin, sockets.admin) }, func(error) { _ = admin.Close() })
-	add(func() error { return d.awaitStop(stop, running, callers) })
+	add(func() error { return d.awaitStop(stop, running, sockets.callers, connections) })
 	klog.Infof("daemon: %s accepts requests on %s", d.config.Settings.Name, sockets.callers.Addr())
 	err := group.Run()
 	if errors.Is(err, context.Canceled) || errors.Is(err, errStopped) {
@@ -100,7 +103,7 @@
 // awaitStop waits for the end of stop. It then drains the daemon: it waits DrainDelay, in which the load balancer in front of the
 // daemons should notice, finishes all open requests, flushes the pending log entries and returns errStopped. It returns early
 // if running ends, except during DrainDelay.
-func (d *Daemon) awaitStop(stop, running context.Context, callers *http.Server) error {
+func (d *Daemon) awaitStop(stop, running context.Context, callers net.Listener, connections *crlconn.Tracker) error {
 	select {
 	case <-stop.Done():
 	case <-running.Done():
@@ -108,8 +111,11 @@
 	}
 	d.Drain()
 	time.Sleep(d.config.Settings.Limits.DrainDelay)
+	if err := callers.Close(); err != nil {
+		return fmt.Errorf("close the callers' listener: %w", err)
+	}
 	// No deadline, since a planned stop must not abort any request.
-	if err := callers.Shutdown(running); err != nil {
+	if err := connections.Drain(running); err != nil {
 		return fmt.Errorf("finish open requests: %w", err)
 	}
 	if err := d.Flush(running); err != nil {
@@ -155,11 +161,16 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 }
 
-// serveHTTP serves until the server is closed, and then waits for the end of running, so that closing this server doesn't
+// logUnanswered logs that a caller's connection was closed without an answer to its request.
+func logUnanswered(c crlconn.Closed) {
+	klog.Warningf("daemon: closed the connection of %s without an answer: %d bytes of a request arrived, the first %s ago", c.Remote, c.ReadBytes, c.Waited)
+}
+
+// serveHTTP serves until the server or its listener is closed, and then waits for the end of running, so that closing this server doesn't
 // end the other goroutines of the group.
 func serveHTTP(running context.Context, server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-running.Done()
 		return nil
 	}
