Share one in-memory listener between tests

The tests of crlconn and crlrouter had an in-memory listener each, and a third is on its way with the tests of failed accepts. crlfake.Listener serves them all. No check changes.

--- a/crlconn/tracker_test.go
+++ b/crlconn/tracker_test.go
@@ -10,48 +10,27 @@
 	"testing"
 	"testing/synctest"
 	"time"
-)
-
-// pipeListener hands out the server's ends of in-memory connections.
-type pipeListener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accepted:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
 
-func (l *pipeListener) Close() error {
-	close(l.closed)
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+	"github.com/cranberrylock/cranberrylock/crlfake"
+)
 
 // dial returns the caller's end of a new connection.
-func (l *pipeListener) dial() net.Conn {
-	caller, server := net.Pipe()
-	l.accepted <- server
-	return caller
+func dial(t *testing.T, l *crlfake.Listener) net.Conn {
+	t.Helper()
+	c, err := l.DialContext(t.Context(), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
 }
 
 // serve runs a test against a server whose connections are tracked, and returns what the tracker reported.
-func serve(t *testing.T, handler http.HandlerFunc, test func(t *testing.T, l *pipeListener)) (reported []Closed) {
+func serve(t *testing.T, handler http.HandlerFunc, test func(t *testing.T, l *crlfake.Listener)) (reported []Closed) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		server := &http.Server{Handler: handler}
 		tracker := New(Config{OnUnanswered: func(c Closed) { reported = append(reported, c) }}, server)
-		l := newPipeListener()
+		l := crlfake.NewListener()
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(tracker.Listener(l)) }()
 		test(t, l)
@@ -84,8 +63,8 @@
 // TestConnectionClosedBeforeItsAnswerIsReported checks that a request which net/http drops without calling the handler leaves a
 // trace, as no handler can log it.
 func TestConnectionClosedBeforeItsAnswerIsReported(t *testing.T) {
-	reported := serve(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, l *pipeListener) {
-		caller := l.dial()
+	reported := serve(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, l *crlfake.Listener) {
+		caller := dial(t, l)
 		exchange(t, caller)
 		time.Sleep(time.Second)
 		if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\n"); err != nil {
@@ -106,11 +85,11 @@
 	reported := serve(t, func(_ http.ResponseWriter, r *http.Request) {
 		time.Sleep(time.Second)
 		stats, _ = StatsOf(r.Context())
-	}, func(t *testing.T, l *pipeListener) {
-		kept := l.dial()
+	}, func(t *testing.T, l *crlfake.Listener) {
+		kept := dial(t, l)
 		exchange(t, kept)
 		exchange(t, kept)
-		abandoned := l.dial()
+		abandoned := dial(t, l)
 		if _, err := io.WriteString(abandoned, "GET / HTTP/1.1\r\n"); err != nil {
 			t.Fatal(err)
 		}
@@ -186,10 +165,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })}
 		tracker := New(Config{}, server)
-		l := newPipeListener()
+		l := crlfake.NewListener()
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(tracker.Listener(l)) }()
-		idle, unused, busy, arriving := l.dial(), l.dial(), l.dial(), l.dial()
+		idle, unused, busy, arriving := dial(t, l), dial(t, l), dial(t, l), dial(t, l)
 		exchange(t, idle)
 		exchange(t, arriving)
 		for c, part := range map[net.Conn]string{busy: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", arriving: "GET / HTT"} {
--- a/crlrouter/callers_test.go
+++ b/crlrouter/callers_test.go
@@ -12,40 +12,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlfake"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
 	"github.com/cranberrylock/cranberrylock/crlroute"
 )
 
-// pipeListener hands out the router's ends of in-memory connections.
-type pipeListener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accepted:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // routeCodec decodes each order into a table with one route, to the only server.
 type routeCodec struct{ testCodec }
 
@@ -72,7 +43,7 @@
 // drainingRouter is a router whose callers connect over pipes.
 type drainingRouter struct {
 	*Router
-	listener *pipeListener
+	listener *crlfake.Listener
 	signal   context.CancelFunc // sends the stop signal
 	stopped  chan error         // gets the result of the drain
 }
@@ -86,7 +57,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newCluster(store)
 		c.codec, c.transport, c.grace = routeCodec{}, silentServer{}, 8*time.Second
-		r := &drainingRouter{Router: c.start(ctx, 0), listener: newPipeListener(), stopped: make(chan error, 1)}
+		r := &drainingRouter{Router: c.start(ctx, 0), listener: crlfake.NewListener(), stopped: make(chan error, 1)}
 		time.Sleep(5 * time.Second)
 		stop, signal := context.WithCancel(ctx)
 		r.signal = signal
@@ -108,10 +79,13 @@
 }
 
 // dial returns the caller's end of a new connection.
-func (r *drainingRouter) dial() net.Conn {
-	caller, server := net.Pipe()
-	r.listener.accepted <- server
-	return caller
+func (r *drainingRouter) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := r.listener.DialContext(t.Context(), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
 }
 
 // Two parts of a request, as they may arrive in two packets.
@@ -144,7 +118,7 @@
 // of its next request is arriving.
 func TestRequestThatArrivesAtTheStopSignalIsAnswered(t *testing.T) {
 	testDrain(t, func(t *testing.T, r *drainingRouter) {
-		c := r.dial()
+		c := r.dial(t)
 		send(t, c, "GET /none HTTP/1.1\r\nHost: other\r\n\r\n")
 		if status, err := answer(c); status != http.StatusNotFound || err != nil {
 			t.Fatalf("first request: got status %d, error %v", status, err)
@@ -168,7 +142,7 @@
 	testDrain(t, func(t *testing.T, r *drainingRouter) {
 		r.signal()
 		time.Sleep(drainAcceptDuration - time.Millisecond)
-		c := r.dial()
+		c := r.dial(t)
 		send(t, c, firstPart)
 		time.Sleep(100 * time.Millisecond)
 		send(t, c, secondPart)
@@ -187,7 +161,7 @@
 	testDrain(t, func(t *testing.T, r *drainingRouter) {
 		r.signal()
 		start := time.Now()
-		c := r.dial()
+		c := r.dial(t)
 		send(t, c, wholeGet)
 		status, err := answer(c)
 		if status != http.StatusBadGateway || err != nil {
@@ -205,7 +179,7 @@
 // TestDrainClosesQuietConnections checks that connections without a request don't hold up the end of a drain.
 func TestDrainClosesQuietConnections(t *testing.T) {
 	testDrain(t, func(t *testing.T, r *drainingRouter) {
-		unused := r.dial()
+		unused := r.dial(t)
 		start := time.Now()
 		r.signal()
 		if err := <-r.stopped; !errors.Is(err, errDrained) {
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlfake"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -442,7 +443,7 @@
 		r.config.Settings.Bounds.Grace = 8 * time.Second
 		ctx, signal := context.WithCancel(context.Background())
 		done := make(chan error, 1)
-		go func() { done <- r.newCallerServer(newPipeListener()).drain(ctx) }()
+		go func() { done <- r.newCallerServer(crlfake.NewListener()).drain(ctx) }()
 		signal()
 		answer := func() string {
 			recorder := httptest.NewRecorder()
