Keep an answer whose server refuses the probe

What callers see: an answer or a stream that is silent for half a second ends, and a stream that no other server may continue is cut off, although its server is alive and still at work on it.

Cause: any failed probe counted as an unreachable server. A refusal or a reset comes from a host that is up: its process is full, or new, and a process that ends closes its open connections as well. Two refusals take no time at all. An error on this VM, such as EMFILE or EADDRNOTAVAIL, counted the same.

Change: only a time-out of the dial, or host unreachable, says that no reply came.

Evidence: TestRefusedProbesDontEndALiveAnswer failed in all four cases before (aborted after 3 sends) and passes now. A dark host is left as before (TestUnresponsiveAndUnreachableServer).

--- a/crlforward/watchdog.go
+++ b/crlforward/watchdog.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlfleet"
@@ -19,11 +20,11 @@
 	// unresponsiveAfter is the time without a byte from a server after which it is probed. The usual pause between the events
 	// of a stream is many times shorter.
 	unresponsiveAfter = 500 * time.Millisecond
-	// probeTries is the number of consecutive connections that must fail, as a single one may fail because of a lost packet.
+	// probeTries is the number of consecutive probes that must get no reply, as a single one may get none because of a lost packet.
 	probeTries = 2
 )
 
-// Probe checks whether the server at an address accepts connections, and returns an error if it does not.
+// Probe opens a connection to the server at an address, and returns the error of the dial if that fails.
 type Probe func(ctx context.Context, address string) error
 
 // dialProbe is the default Probe. It opens a TCP connection and closes it.
@@ -36,6 +37,14 @@
 	return connection.Close()
 }
 
+// isNoReply reports whether a probe failed because no reply came from the host of a server. A refusal or reset comes from a host
+// that is up: if the process behind an open connection had ended, that connection would have been closed too. Any other error,
+// such as a lack of descriptors, arises on this VM.
+func isNoReply(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, syscall.EHOSTUNREACH)
+}
+
 // probes runs probes such that concurrent sends to one server share a probe.
 type probes struct {
 	probe   Probe
@@ -56,7 +65,7 @@
 	return &probes{probe: probe, running: make(map[string]*sharedProbe)}
 }
 
-// reachable reports whether a server accepts connections. It also returns true when ctx ends before the probe does.
+// reachable reports whether the host of a server replies, or may do so. It also returns true when ctx ends before the probe does.
 func (p *probes) reachable(ctx context.Context, address string) bool {
 	p.mu.Lock()
 	probe, ok := p.running[address]
@@ -77,7 +86,7 @@
 // run probes an address up to probeTries times and hands the result to all that wait for it.
 func (p *probes) run(ctx context.Context, address string, probe *sharedProbe) {
 	for try := 0; try < probeTries && !probe.reachable; try++ {
-		probe.reachable = p.probe(ctx, address) == nil
+		probe.reachable = !isNoReply(p.probe(ctx, address))
 	}
 	p.mu.Lock()
 	delete(p.running, address)
@@ -85,8 +94,8 @@
 	close(probe.done)
 }
 
-// watchdog cancels a send when its server has sent nothing for unresponsiveAfter and accepts no connections. A server that
-// accepts connections may only be slow, so the send continues.
+// watchdog cancels a send when its server has sent nothing for unresponsiveAfter and its host does not reply to probes. A server
+// whose host replies may only be slow or full, so the send continues.
 type watchdog struct {
 	timer *time.Timer
 	reads atomic.Int64 // reads that returned bytes
