--- /dev/null
+++ b/crlforward/transport_test.go
@@ -0,0 +1,150 @@
+package crlforward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// serveOnce listens on loopback and passes the first connection to serve. It returns the listener's address.
+func serveOnce(t *testing.T, serve func(connection *net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		serve(connection.(*net.TCPConn))
+	}()
+	return listener.Addr().String()
+}
+
+// control calls f with the descriptor of a connection.
+func control(t *testing.T, connection *net.TCPConn, f func(fd int) error) {
+	t.Helper()
+	raw, err := connection.SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) { optionErr = f(int(fd)) }); err != nil || optionErr != nil {
+		t.Error(err, optionErr)
+	}
+}
+
+// dropPackets makes the kernel drop all packets that arrive for a connection, as if they were lost on the way.
+func dropPackets(t *testing.T, connection *net.TCPConn) {
+	t.Helper()
+	filter := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	control(t, connection, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &filter[0]})
+	})
+}
+
+// keepPackets ends the effect of dropPackets.
+func keepPackets(t *testing.T, connection *net.TCPConn) {
+	t.Helper()
+	control(t, connection, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) })
+}
+
+const answerHead = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+
+// readRequest reads a whole request from a connection.
+func readRequest(connection net.Conn) error {
+	request, err := http.ReadRequest(bufio.NewReader(connection))
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return err
+}
+
+// post sends a body to an address on the transport of a router, and returns the answer's body.
+func post(t *testing.T, address string, body []byte) (string, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := NewTransport().RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return string(content), err
+}
+
+// TestLostKeepAliveProbeDoesntEndALiveAnswer guards against the kernel closing the connection of a silent answer because of one
+// lost keep-alive probe, or one that a saturated link delays.
+func TestLostKeepAliveProbeDoesntEndALiveAnswer(t *testing.T) {
+	t.Parallel()
+	address := serveOnce(t, func(connection *net.TCPConn) {
+		if err := readRequest(connection); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(connection, answerHead)
+		time.Sleep(keepAliveInterval / 2)
+		dropPackets(t, connection)
+		time.Sleep(keepAliveInterval) // One probe is lost.
+		keepPackets(t, connection)
+		time.Sleep(2 * keepAliveInterval)
+		_, _ = io.WriteString(connection, "done")
+	})
+	if got, err := post(t, address, nil); got != "done" || err != nil {
+		t.Errorf("got %q and error %v, want \"done\"", got, err)
+	}
+}
+
+// TestServerMayReadALongBodyLate guards against the kernel closing a connection on which the server is alive, but reads the body
+// only when a slot is free: its receive window is full until then.
+func TestServerMayReadALongBodyLate(t *testing.T) {
+	t.Parallel()
+	address := serveOnce(t, func(connection *net.TCPConn) {
+		time.Sleep(3 * time.Second)
+		if err := readRequest(connection); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(connection, answerHead+"done")
+	})
+	if got, err := post(t, address, make([]byte, 1<<20)); got != "done" || err != nil {
+		t.Errorf("got %q and error %v, want \"done\"", got, err)
+	}
+}
+
+// TestKeepAliveEndsAnswersOfADarkHost checks that an answer ends when its host is gone, also on a route whose requests have no
+// watchdog.
+func TestKeepAliveEndsAnswersOfADarkHost(t *testing.T) {
+	t.Parallel()
+	ended := make(chan struct{})
+	address := serveOnce(t, func(connection *net.TCPConn) {
+		if err := readRequest(connection); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(connection, answerHead)
+		dropPackets(t, connection)
+		<-ended
+	})
+	start := time.Now()
+	_, err := post(t, address, nil)
+	close(ended)
+	const bound = (keepAliveProbes + 2) * keepAliveInterval // One interval more than it takes.
+	if took := time.Since(start); !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, unix.ETIMEDOUT) || took > bound {
+		t.Errorf("answer ended with %v after %s, want a time-out within %s", err, took, bound)
+	}
+}
