Leave a server only when its host has been silent for longer than a saturated link explains

What callers see: a silent answer ends 1.1 s after its last byte, and a stream that can go on nowhere else is cut off, though its server is alive.

Cause: two probes of 300 ms without a reply counted as an unreachable server. They also get none when packets wait in the queue of this VM's own link (up to 0.5 s in each direction) or are lost there, and when the accept queue of the server is full: Linux drops further connections then without a refusal.

Change: a probe may take 1.5 s, with a second one started after 0.5 s, and any reply counts. Besides, the send's own connection must have brought no packet for 1.9 s (TCP_INFO). A host that is up acknowledges the keep-alive probe that is sent after 1 s, whatever its process and its accept queue do. A dark host is left at most 2.0 s after its last sign, 1.1 s before. dialTimeout stays at 0.3 s for sends: a send that opens no connection goes to another server and loses no answer.

Evidence: TestLiveAnswerSurvivesUnansweredProbes, on real sockets, failed before in both cases (accept queue full, packets lost for 0.8 s: stream aborted after 1.1 s) and passes now. TestDarkHostIsLeft measured 2.0 s and, with a silence of 1.2 s before, 1.8 s after the host went dark.

Requests on routes with a timeout under 2 s are thus not moved from a dark host any more; after 1.1 s little was left for them.

--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -116,14 +116,19 @@
 func (s *Service) roundTrip(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, pick *crlfleet.Pick, plan *modelPlan) (
 	response *http.Response, connected bool, err error,
 ) {
-	var hasConnection atomic.Bool
-	request := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { hasConnection.Store(true) },
-	}), x, pick, plan)
 	var wd *watchdog
 	if x.route.Repeatable() {
 		wd = s.probes.newWatchdog(ctx, cancel, pick.Address)
 	}
+	var hasConnection atomic.Bool
+	request := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			hasConnection.Store(true)
+			if wd != nil {
+				wd.setConnection(info.Conn)
+			}
+		},
+	}), x, pick, plan)
 	response, err = s.config.Transport.RoundTrip(request)
 	connected = err == nil || hasConnection.Load()
 	if connected {
--- a/crlforward/watchdog.go
+++ b/crlforward/watchdog.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 )
 
@@ -20,17 +22,22 @@
 	// unresponsiveAfter is the time without a byte from a server after which it is probed. The usual pause between the events
 	// of a stream is many times shorter.
 	unresponsiveAfter = 500 * time.Millisecond
-	// probeTries is the number of consecutive probes that must get no reply, as a single one may get none because of a lost packet.
-	probeTries = 2
+	// probeTimeout is the time within which none of probeTries probes, probeInterval apart, gets a reply from an unreachable host.
+	// On the VM's own link, packets may wait 0.5 s in each direction when it is saturated, and one of them may be lost.
+	probeTimeout  = 1500 * time.Millisecond
+	probeInterval = 500 * time.Millisecond
+	probeTries    = 2
+	// hostSilentAfter is the time without a packet on a send's own connection after which its host may count as unreachable. A host
+	// that is up acknowledges a TCP keep-alive probe every keepAliveInterval, whatever its process does.
+	hostSilentAfter = 1900 * time.Millisecond
 )
 
-// Probe opens a connection to the server at an address, and returns the error of the dial if that fails.
+// Probe opens a connection to the server at an address, and returns the error of the dial if that fails or ctx ends.
 type Probe func(ctx context.Context, address string) error
 
 // dialProbe is the default Probe. It opens a TCP connection and closes it.
 func dialProbe(ctx context.Context, address string) error {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	connection, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
@@ -83,22 +90,34 @@
 	}
 }
 
-// run probes an address up to probeTries times and hands the result to all that wait for it.
+// run probes an address until a probe doesn't lack a reply or probeTimeout has passed, and hands the result to all that wait for it.
 func (p *probes) run(ctx context.Context, address string, probe *sharedProbe) {
-	for try := 0; try < probeTries && !probe.reachable; try++ {
-		probe.reachable = !isNoReply(p.probe(ctx, address))
+	ctx, stop := context.WithTimeout(ctx, probeTimeout)
+	defer stop()
+	var reachable atomic.Bool
+	for n := range probeTries {
+		time.AfterFunc(time.Duration(n)*probeInterval, func() {
+			if ctx.Err() == nil && !isNoReply(p.probe(ctx, address)) {
+				reachable.Store(true)
+				stop()
+			}
+		})
 	}
+	<-ctx.Done()
+	probe.reachable = reachable.Load()
 	p.mu.Lock()
 	delete(p.running, address)
 	p.mu.Unlock()
 	close(probe.done)
 }
 
-// watchdog cancels a send when its server has sent nothing for unresponsiveAfter and its host does not reply to probes. A server
-// whose host replies may only be slow or full, so the send continues.
+// watchdog cancels a send when its server has sent nothing for unresponsiveAfter, its host does not reply to probes, and no packet
+// has come on the send's own connection for hostSilentAfter. A server whose host replies may only be slow or full, so the send
+// continues.
 type watchdog struct {
-	timer *time.Timer
-	reads atomic.Int64 // reads that returned bytes
+	timer      *time.Timer
+	reads      atomic.Int64                 // reads that returned bytes
+	connection atomic.Pointer[syscall.Conn] // the send's connection; nil until it is opened, and if it can't be examined
 }
 
 // newWatchdog starts a watchdog for a send to an address. It runs until ctx ends, and cancels with errUnresponsive.
@@ -107,7 +126,7 @@
 	// The timer's function uses w.timer, so the timer must not fire before the field is set: it starts with longestWait.
 	w.timer = time.AfterFunc(longestWait, func() {
 		before := w.reads.Load()
-		if !p.reachable(ctx, address) && w.reads.Load() == before {
+		if !p.reachable(ctx, address) && w.hostIsSilent(ctx) && w.reads.Load() == before {
 			cancel(errUnresponsive)
 		}
 		if ctx.Err() == nil {
@@ -119,6 +138,50 @@
 	return w
 }
 
+// setConnection makes the connection of the send known to the watchdog.
+func (w *watchdog) setConnection(connection net.Conn) {
+	if c, ok := connection.(syscall.Conn); ok {
+		w.connection.Store(&c)
+	}
+}
+
+// hostIsSilent reports whether no packet has come on the send's connection for hostSilentAfter, and waits until that time has passed
+// since the last one. It returns true if that can't be known.
+func (w *watchdog) hostIsSilent(ctx context.Context) bool {
+	silence, ok := w.silence()
+	if !ok || silence >= hostSilentAfter {
+		return true
+	}
+	select {
+	case <-time.After(hostSilentAfter - silence + silenceGranularity):
+	case <-ctx.Done():
+	}
+	silence, ok = w.silence()
+	return !ok || silence >= hostSilentAfter
+}
+
+// silenceGranularity is the longest tick in which Linux counts the times that silence returns.
+const silenceGranularity = 10 * time.Millisecond
+
+// silence returns the time since the last packet on the send's connection. ok is false if that is unknown.
+func (w *watchdog) silence() (silence time.Duration, ok bool) {
+	connection := w.connection.Load()
+	if connection == nil {
+		return 0, false
+	}
+	raw, err := (*connection).SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var optionErr error
+	err = raw.Control(func(fd uintptr) { info, optionErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || optionErr != nil {
+		return 0, false
+	}
+	return time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond, true
+}
+
 // watchedBody is the body of an answer whose reads reset a watchdog.
 type watchedBody struct {
 	io.ReadCloser
--- /dev/null
+++ b/crlforward/watchdog_test.go
@@ -0,0 +1,125 @@
+package crlforward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+// newLoopbackCluster returns a cluster whose only server listens on loopback. Sends and probes use real connections. The server
+// sends two events of a stream, calls during, sends two more and ends the answer.
+func newLoopbackCluster(t *testing.T, during func(listener *net.TCPListener, connection *net.TCPConn)) *cluster {
+	t.Helper()
+	config := net.ListenConfig{}
+	config.SetMultipathTCP(false) // Linux takes no filter on a listener with multipath TCP.
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nX-Signed: yes\r\nX-Request: "+request.Header.Get("X-Request")+"\r\n\r\n"+events(1, 2))
+		during(listener.(*net.TCPListener), connection.(*net.TCPConn))
+		_, _ = io.WriteString(connection, events(3, 4))
+	}()
+	c := newCluster()
+	for _, id := range c.fleet.Servers() {
+		c.fleet.Remove(id)
+	}
+	c.fleet.Announce(crlfleet.Entry{
+		Server: "real", Service: "app", Address: listener.Addr().String(), Domain: "near", Version: crlid.Version("v1"),
+	}, c.now())
+	c.service.config.Transport = NewTransport()
+	c.service.probes = newProbes(nil)
+	return c
+}
+
+// fillAcceptQueue opens connections to a listener that accepts none, until the kernel drops further ones without a reply.
+func fillAcceptQueue(t *testing.T, listener *net.TCPListener) {
+	t.Helper()
+	control(t, listener, func(fd int) error { return unix.Listen(fd, 0) })
+	for range 10 {
+		connection, err := net.DialTimeout("tcp", listener.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+	}
+	t.Error("listener still accepts connections")
+}
+
+// TestLiveAnswerSurvivesUnansweredProbes guards against a silent answer being ended because new connections to its server get no
+// reply for a while, though the server's host is alive: a full accept queue drops them, and so does the full queue of a link.
+func TestLiveAnswerSurvivesUnansweredProbes(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name   string
+		during func(t *testing.T, listener *net.TCPListener)
+	}{
+		{"accept queue is full", func(t *testing.T, listener *net.TCPListener) {
+			fillAcceptQueue(t, listener)
+			time.Sleep(5 * time.Second)
+		}},
+		{"packets are lost for 0.8 s", func(t *testing.T, listener *net.TCPListener) {
+			time.Sleep(unresponsiveAfter / 2)
+			dropPackets(t, listener)
+			time.Sleep(unresponsiveAfter/2 + 800*time.Millisecond)
+			keepPackets(t, listener)
+			time.Sleep(2 * time.Second)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newLoopbackCluster(t, func(listener *net.TCPListener, _ *net.TCPConn) { tc.during(t, listener) })
+			got, aborted := c.call(context.Background(), "/draft/1", nil)
+			if aborted || got.Body.String() != events(1, 4) {
+				t.Errorf("got %q (aborted %v), want %q", got.Body, aborted, events(1, 4))
+			}
+		})
+	}
+}
+
+// TestDarkHostIsLeft checks that an answer on a real connection is left 2 s after its host has gone dark, also if the host is heard
+// of for the last time shortly before it is probed.
+func TestDarkHostIsLeft(t *testing.T) {
+	t.Parallel()
+	for _, quiet := range []time.Duration{0, 1200 * time.Millisecond} { // A keep-alive probe comes after 1 s.
+		t.Run(quiet.String(), func(t *testing.T) {
+			t.Parallel()
+			dark, ended := make(chan time.Time, 1), make(chan struct{})
+			c := newLoopbackCluster(t, func(listener *net.TCPListener, connection *net.TCPConn) {
+				time.Sleep(quiet)
+				dropPackets(t, listener)
+				dropPackets(t, connection)
+				dark <- time.Now()
+				<-ended
+			})
+			c.call(context.Background(), "/draft/1", map[string]string{"X-Request": "r2"})
+			took := time.Since(<-dark)
+			close(ended)
+			const slack = 250 * time.Millisecond // for a busy machine
+			if l := c.findLine(t, "r2"); l.Cause != errUnresponsive.Error() || took > 2*time.Second+slack {
+				t.Errorf("left after %s with cause %q, want %q within 2 s", took, l.Cause, errUnresponsive)
+			}
+		})
+	}
+}
