Keep an answer that waits for its caller when its server is gone

What callers see: a caller that reads slowly loses the rest of its answer, though all of it has arrived at this VM.

Cause: the watchdog counted the time since the last read that returned bytes. While a write to the caller blocks there is no read, so an answer that its server had completed before it went away was cancelled with it.

Change: the watchdog runs only while a read of the answer waits.

Evidence: TestSlowCallerDoesntEndItsAnswer failed before (aborted after event 2 of 4) and passes now. The paused answer of the tests now fails when its request is cancelled before the pause, as a body of net/http does.

--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -135,6 +135,7 @@
 		x.reached, x.retryPaid = true, false
 	}
 	if err == nil && wd != nil {
+		wd.endWait()
 		response.Body = &watchedBody{ReadCloser: response.Body, watchdog: wd}
 	}
 	return response, connected, err
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -550,6 +550,9 @@
 }
 
 func (p *pausedReader) Read(content []byte) (int, error) {
+	if err := p.ctx.Err(); err != nil {
+		return 0, err
+	}
 	select {
 	case <-time.After(p.pause):
 		p.pause = 0
--- a/crlforward/watchdog.go
+++ b/crlforward/watchdog.go
@@ -111,22 +111,26 @@
 	close(probe.done)
 }
 
-// watchdog cancels a send when its server has sent nothing for unresponsiveAfter, its host does not reply to probes, and no packet
+// watchdog cancels a send when a read of its answer has waited for unresponsiveAfter, the server's host does not reply to probes, and no packet
 // has come on the send's own connection for hostSilentAfter. A server whose host replies may only be slow or full, so the send
 // continues.
 type watchdog struct {
 	timer      *time.Timer
-	reads      atomic.Int64                 // reads that returned bytes
+	phase      atomic.Int64                 // odd while a read waits for bytes; begins with the wait for the head of the answer
 	connection atomic.Pointer[syscall.Conn] // the send's connection; nil until it is opened, and if it can't be examined
 }
 
 // newWatchdog starts a watchdog for a send to an address. It runs until ctx ends, and cancels with errUnresponsive.
 func (p *probes) newWatchdog(ctx context.Context, cancel context.CancelCauseFunc, address string) *watchdog {
 	w := &watchdog{}
+	w.phase.Store(1)
 	// The timer's function uses w.timer, so the timer must not fire before the field is set: it starts with longestWait.
 	w.timer = time.AfterFunc(longestWait, func() {
-		before := w.reads.Load()
-		if !p.reachable(ctx, address) && w.hostIsSilent(ctx) && w.reads.Load() == before {
+		phase := w.phase.Load()
+		if phase%2 == 0 {
+			return // What has arrived waits for the caller, so the send doesn't depend on the server's host. The next read starts the timer.
+		}
+		if !p.reachable(ctx, address) && w.hostIsSilent(ctx) && w.phase.Load() == phase {
 			cancel(errUnresponsive)
 		}
 		if ctx.Err() == nil {
@@ -138,6 +142,15 @@
 	return w
 }
 
+// startWait starts the timer, as a read waits for bytes from now on.
+func (w *watchdog) startWait() {
+	w.phase.Add(1)
+	w.timer.Reset(unresponsiveAfter)
+}
+
+// endWait records that the read that waited has ended.
+func (w *watchdog) endWait() { w.phase.Add(1) }
+
 // setConnection makes the connection of the send known to the watchdog.
 func (w *watchdog) setConnection(connection net.Conn) {
 	if c, ok := connection.(syscall.Conn); ok {
@@ -182,20 +195,17 @@
 	return time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond, true
 }
 
-// watchedBody is the body of an answer whose reads reset a watchdog.
+// watchedBody is the body of an answer whose reads are watched.
 type watchedBody struct {
 	io.ReadCloser
 	watchdog *watchdog
 }
 
-// Read reads from the body, and resets the watchdog if bytes arrived.
+// Read reads from the body. The watchdog runs until it returns.
 func (b *watchedBody) Read(content []byte) (int, error) {
-	n, err := b.ReadCloser.Read(content)
-	if n > 0 {
-		b.watchdog.reads.Add(1)
-		b.watchdog.timer.Reset(unresponsiveAfter)
-	}
-	return n, err
+	b.watchdog.startWait()
+	defer b.watchdog.endWait()
+	return b.ReadCloser.Read(content)
 }
 
 // endedLocally reports whether a send was ended by the caller, a deadline or the fallback timer, rather than by a failure of
--- a/crlforward/watchdog_test.go
+++ b/crlforward/watchdog_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -123,3 +125,35 @@
 		})
 	}
 }
+
+// slowWriter is the connection of a caller that takes the first part of its answer only after a time.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	wait time.Duration
+}
+
+func (s *slowWriter) Write(content []byte) (int, error) {
+	time.Sleep(s.wait)
+	s.wait = 0
+	return s.ResponseRecorder.Write(content)
+}
+
+// TestSlowCallerDoesntEndItsAnswer guards against an answer being ended while it waits for its caller to read: its server may have
+// completed it and be gone since.
+func TestSlowCallerDoesntEndItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(pauses(0))
+		c.unreachable.Store(true)
+		w := &slowWriter{httptest.NewRecorder(), 5 * time.Second}
+		r := httptest.NewRequest(http.MethodPost, "http://h/draft/1", nil)
+		r.RequestURI = "/draft/1"
+		r.Header.Set("X-Request", "r1")
+		r.Header.Set("X-Key", "key")
+		defer func() {
+			if recovered := recover(); recovered != nil || w.Body.String() != events(1, 4) {
+				t.Errorf("got %q (aborted: %v), want %q", w.Body, recovered, events(1, 4))
+			}
+		}()
+		c.service.ServeHTTP(w, r)
+	})
+}
