Let a started stream go on past the time for its fallback answer

What callers see: a stream that began with the large model and broke off is resumed at another server, and cut off within 0.9 of its latency objective, at once if that has passed.

Cause: each send of a request that holds a complete short answer of the smaller model started the timer that ends the send in time to send that answer instead. When the caller already has part of the larger answer, the fallback can no longer be sent, and nothing stopped the timer, so it cancelled a sound send. The request then counted as ended by its caller and was not sent again.

Change: the timer is started only while the caller has got nothing.

Evidence: TestFallbackTimerSparesAStartedStream failed before (aborted after event 2 of 4) and passes now. It takes a first large model that breaks off, as at the end of a roll-out, when the old engines stop without draining.

--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -67,7 +67,7 @@
 func (s *Service) send(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if x.fallback != nil {
+	if x.fallback != nil && !x.stream.started {
 		// Ends the send in time for the fallback answer, if this server does not start to answer.
 		x.fallbackTimer = time.AfterFunc(time.Duration(objectiveFraction*float64(x.route.Objective))-time.Since(x.arrived), func() { cancel(nil) })
 		defer x.fallbackTimer.Stop()
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -631,6 +631,18 @@
 	}
 }
 
+// TestFallbackTimerSparesAStartedStream guards against a stream being cut off at the time for its fallback answer, when its first
+// large model broke off after it had started and another one goes on.
+func TestFallbackTimerSparesAStartedStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(answersWithConfidence(20, events(1, 2)), breaksAfter(events(1, 2)), pauses(3*time.Second))
+		got, aborted := c.call(t.Context(), "/draft/1", map[string]string{"X-Output": "20"})
+		if aborted || got.Body.String() != events(1, 4) {
+			t.Errorf("got %q (aborted %v), want %q", got.Body, aborted, events(1, 4))
+		}
+	})
+}
+
 // TestShortAnswerIsTheFallback guards against a late or failed answer when engines are loaded: if the larger model does not
 // start in time or fails, the smaller model's complete short answer is sent within the latency objective.
 func TestShortAnswerIsTheFallback(t *testing.T) {
