Keep the attempts of a started stream for servers that may run it

What callers see: a stream that has started and broken off is cut off, though a server could go on with it.

Cause: every send used up one of the attempts of the route, also one whose server answered that it ran nothing (full, or another server at the address) or that opened no connection. A cascade takes two of three attempts before the first event, so one full or missing server after a break ended the stream. Around the end of a roll-out, or while servers leave, such servers are usual.

Change: once the caller has part of a stream, only sends that a server may have run count; all sends together stay within twice the attempts. A request that has not started ends after as many sends as before, with a refusal that says that nothing ran.

Evidence: TestStartedStreamKeepsItsAttempts failed before in four cases (full, moved, no connection, full before the start: aborted after event 2 of 4) and passes now; its fifth case holds that a stream which three servers may have run is not sent again.

--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -66,7 +66,7 @@
 	if x.sends == 0 {
 		return nil
 	}
-	if x.sends >= x.route.Attempts {
+	if !x.hasAttempts() {
 		return x.finalRefusal(ReasonAttempts)
 	}
 	if !x.reached || x.retryPaid {
@@ -78,13 +78,25 @@
 	return nil
 }
 
+// startedSendsFactor bounds the sends of a started stream, as a multiple of its route's attempts.
+const startedSendsFactor = 2
+
+// hasAttempts reports whether the route allows one more send. Once the caller has part of a stream, only sends that a server may
+// have run use up the route's attempts: the caller of a stream that is cut off can't be told that nothing ran.
+func (x *exchange) hasAttempts() bool {
+	if x.stream.started {
+		return x.runs < x.route.Attempts && x.sends < startedSendsFactor*x.route.Attempts
+	}
+	return x.sends < x.route.Attempts
+}
+
 // finalRefusal returns the refusal of a request that is not sent again. Only when no server can have run the request does
 // the refusal ask the caller to retry.
 func (x *exchange) finalRefusal(reason string) *Refusal {
 	switch {
-	case x.mayHaveRun && (reason == ReasonRouteTimeout || reason == ReasonDeadline):
+	case x.runs > 0 && (reason == ReasonRouteTimeout || reason == ReasonDeadline):
 		return newRefusal(http.StatusGatewayTimeout, reason)
-	case x.mayHaveRun:
+	case x.runs > 0:
 		return newRefusal(http.StatusBadGateway, reason)
 	default:
 		return unavailable(reason, overloadRetryAfter)
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -92,7 +92,7 @@
 		}
 		return verdictAgain
 	}
-	x.mayHaveRun = true
+	x.runs++
 	pick.RecordFirstByte(result.FirstByte)
 	s.sessions.record(x.sessionKey(), pick.Version)
 	if head.Request != x.head.Request {
@@ -191,7 +191,7 @@
 	result.FirstByte = 0
 	if connected {
 		pick.RecordFirstByte(waited) // The time waited so far is a lower bound of the server's waiting time.
-		x.mayHaveRun = true
+		x.runs++
 	}
 	if endedLocally(ctx) {
 		return verdictFinal
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -100,7 +100,7 @@
 	sends         int                   // sends so far
 	reached       bool                  // whether a server may have received the request
 	retryPaid     bool                  // whether the retry budget was charged for the next send
-	mayHaveRun    bool                  // whether a server may have started to execute the request
+	runs          int                   // sends after which a server may have started to execute the request
 	tried         map[crlid.Server]bool // servers that the request was sent to
 	lastFailure   *reply                // last answer with a 5xx status
 	fallback      *reply                // complete answer of a smaller model, sent if the larger model does not answer
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -631,6 +631,35 @@
 	}
 }
 
+// TestStartedStreamKeepsItsAttempts guards against a started stream being cut off because servers that ran nothing of it used up the
+// attempts of its route (three).
+func TestStartedStreamKeepsItsAttempts(t *testing.T) {
+	full := fails(http.StatusServiceUnavailable, map[string]string{"X-Not-Run": "1"})
+	for _, tc := range []struct {
+		name    string
+		steps   []step
+		aborted bool
+	}{
+		{"next server is full", []step{answersWithConfidence(20, events(1, 1)), breaksAfter(events(1, 2)), full, answers(events(3, 4))}, false},
+		{"address of the next server is another's", []step{
+			answersWithConfidence(20, events(1, 1)), breaksAfter(events(1, 2)), fails(http.StatusMisdirectedRequest, nil), answers(events(3, 4)),
+		}, false},
+		{"next servers accept no connection", []step{breaksAfter(events(1, 2)), unreachable, unreachable, answers(events(3, 4))}, false},
+		{"first servers were full", []step{full, full, breaksAfter(events(1, 2)), answers(events(3, 4))}, false},
+		{"three servers may have run it", []step{
+			answersWithConfidence(20, events(1, 1)), breaksAfter(events(1, 2)), breaksAfter(""), answers(events(3, 4)),
+		}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(tc.steps...)
+			got, aborted := c.call(t.Context(), "/draft/1", nil)
+			if aborted != tc.aborted || !aborted && got.Body.String() != events(1, 4) {
+				t.Errorf("got %q (aborted %v), want %q (aborted %v)", got.Body, aborted, events(1, 4), tc.aborted)
+			}
+		})
+	}
+}
+
 // TestFallbackTimerSparesAStartedStream guards against a stream being cut off at the time for its fallback answer, when its first
 // large model broke off after it had started and another one goes on.
 func TestFallbackTimerSparesAStartedStream(t *testing.T) {
