Let a started stream wait for a server for a second

What callers see: a stream that has started and broken off is cut off at once when, just then, no server of the service may go on with it or the retry budget is empty.

Cause: a started stream was treated like a request of which the caller has nothing. That one is refused at once, so that its caller turns to another daemon; a started stream has no such answer, and is aborted. No server can be a matter of moments: the old version's servers stop as a roll-out completes and the entries of the others, or the order, come a little later; the servers left are cold and at their rate; an evacuation ends. The budget refills with each request, and many streams that break at once empty it.

Change: a started stream looks again every 50 ms, for 1 s in all. Callers take a stream for broken after 2 s or more without an event. Version, cold limit, evacuation and budget bind as before.

Evidence: TestStartedStreamWaitsForAServer failed before for both short gaps (no server, no budget: aborted after event 2 of 4) and passes now; its long cases hold that the wait ends.

--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -37,13 +37,13 @@
 		if ctx.Err() != nil {
 			return x.finalRefusal(endReason(ctx, x))
 		}
-		if refusal := s.checkNextSend(x); refusal != nil {
+		pick, refusal := s.prepareSend(x, plan)
+		if refusal != nil {
+			if x.waitForServer(ctx, refusal) {
+				continue
+			}
 			return refusal
 		}
-		pick, err := s.pick(x, plan)
-		if err != nil {
-			return x.noServerRefusal(err)
-		}
 		switch s.send(ctx, x, pick, plan) {
 		case verdictAnswered:
 			return nil
@@ -59,6 +59,39 @@
 	}
 }
 
+// prepareSend picks the server of the next send, or returns the refusal that ends the request instead.
+func (s *Service) prepareSend(x *exchange, plan *modelPlan) (*crlfleet.Pick, *Refusal) {
+	if refusal := s.checkNextSend(x); refusal != nil {
+		return nil, refusal
+	}
+	pick, err := s.pick(x, plan)
+	if err != nil {
+		return nil, x.noServerRefusal(err)
+	}
+	return pick, nil
+}
+
+const (
+	// serverWait bounds the time that a started stream waits for a server and the retry budget, in all. Callers take a stream for
+	// broken after a pause of 2 s or more.
+	serverWait         = time.Second
+	serverWaitInterval = 50 * time.Millisecond // time between two looks for a server
+)
+
+// waitForServer waits before a started stream, for which there is no server or budget just now, looks again, and reports whether it
+// may. Any other request ends with its refusal at once, so that its caller can turn to another daemon.
+func (x *exchange) waitForServer(ctx context.Context, refusal *Refusal) bool {
+	if !x.stream.started || refusal.Reason == ReasonAttempts || x.waits >= int(serverWait/serverWaitInterval) {
+		return false
+	}
+	x.waits++
+	select {
+	case <-time.After(serverWaitInterval):
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // checkNextSend returns a refusal when one more send would exceed the route's attempts or the service's retry budget.
 //
 // A send that reached no server repeats no work, so the charge that it took from the retry budget covers the next send.
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -98,6 +98,7 @@
 	rolloutPlan   crlrollout.Plan       // roll-out plan of the newest send
 	lastVersion   crlid.Version         // version that the session's previous request ran on
 	sends         int                   // sends so far
+	waits         int                   // times that it waited for a server or the retry budget
 	reached       bool                  // whether a server may have received the request
 	retryPaid     bool                  // whether the retry budget was charged for the next send
 	runs          int                   // sends after which a server may have started to execute the request
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -660,6 +660,47 @@
 	}
 }
 
+// TestStartedStreamWaitsForAServer guards against a started stream being cut off because for a moment no server of the service may
+// go on with it, as when servers of one version leave before those of another are known, or the retry budget is used up.
+func TestStartedStreamWaitsForAServer(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		blocked time.Duration
+		aborted bool
+	}{{"short", 400 * time.Millisecond, false}, {"long", 2 * time.Second, true}} {
+		t.Run("no server "+tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var c *cluster
+				leaves := func(r *http.Request) (*http.Response, error) {
+					c.fleet.Evacuate("near", true)
+					time.AfterFunc(tc.blocked, func() { c.fleet.Evacuate("near", false) })
+					return breaksAfter(events(1, 2))(r)
+				}
+				c = newCluster(leaves, answers(events(3, 4)))
+				if got, aborted := c.call(t.Context(), "/draft/1", nil); aborted != tc.aborted || !aborted && got.Body.String() != events(1, 4) {
+					t.Errorf("got %q (aborted %v), want %q (aborted %v)", got.Body, aborted, events(1, 4), tc.aborted)
+				}
+			})
+		})
+		t.Run("no budget "+tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const others = 5 // Their parts of the ratio add up to one repeat.
+				steps := slices.Concat([]step{breaksAfter(events(1, 2))}, slices.Repeat([]step{answers("page")}, others), []step{answers(events(3, 4))})
+				c := newCluster(steps...)
+				c.setRetryBudget(crlbudget.RetryBudgetConfig{Ratio: 0.6, Window: 10 * time.Second, Share: func() float64 { return 1 }})
+				time.AfterFunc(tc.blocked, func() {
+					for range others {
+						c.call(context.Background(), "/read/1", nil)
+					}
+				})
+				if got, aborted := c.call(t.Context(), "/draft/1", nil); aborted != tc.aborted || !aborted && got.Body.String() != events(1, 4) {
+					t.Errorf("got %q (aborted %v), want %q (aborted %v)", got.Body, aborted, events(1, 4), tc.aborted)
+				}
+			})
+		})
+	}
+}
+
 // TestFallbackTimerSparesAStartedStream guards against a stream being cut off at the time for its fallback answer, when its first
 // large model broke off after it had started and another one goes on.
 func TestFallbackTimerSparesAStartedStream(t *testing.T) {
