Keep the failure of a server out of a stream that has started

What callers see: a stream that broke off ends with the text of another server's failure (404, say), and looks complete. After a send that ran nothing, a failure with a 5xx status cuts the stream off while the route has attempts left.

Cause: an answer without a success status was relayed as a plain answer, also when it came to a send that should have gone on with a stream. Below 500 its body was written to the caller and the request counted as answered; from 500 on all sends counted as attempts.

Change: such an answer is dropped and counts as a failure of its server; the stream goes on at another server within the attempts, or is aborted.

Evidence: TestFailureIsNoPartOfAStream failed before in all three cases ("failure" after event 2 of 4 and not aborted, twice; aborted) and passes now.

--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -215,8 +215,13 @@
 
 // relayPlain relays a plain answer: one that is not a stream, or that has no success status. The caller gets nothing of it
 // before it is complete or longer than maxHeldReplyBytes, so that the request can be sent to another server after an
-// incomplete answer, a 5xx status or a success without a signature.
+// incomplete answer, a 5xx status or a success without a signature. An answer to a send that should have gone on with a started
+// stream is dropped.
 func (s *Service) relayPlain(ctx context.Context, x *exchange, response *http.Response, head AnswerHead) (verdict, crlfleet.Outcome) {
+	if x.stream.started {
+		x.trace.cause = "backend server did not go on with the stream"
+		return s.retryVerdict(x), crlfleet.OutcomeFailed
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeldReplyBytes+1))
 	if err != nil {
 		if endedLocally(ctx) {
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -701,6 +701,29 @@
 	}
 }
 
+// TestFailureIsNoPartOfAStream guards against the failure of a server that should have gone on with a stream being written into the
+// stream, which then looks complete.
+func TestFailureIsNoPartOfAStream(t *testing.T) {
+	full := fails(http.StatusServiceUnavailable, map[string]string{"X-Not-Run": "1"})
+	for _, tc := range []struct {
+		name    string
+		steps   []step
+		body    string
+		aborted bool
+	}{
+		{"not found", []step{breaksAfter(events(1, 2)), fails(404, signed), answers(events(3, 4))}, events(1, 4), false},
+		{"not found at any server", []step{breaksAfter(events(1, 2)), fails(404, signed), fails(404, signed)}, events(1, 2), true},
+		{"failure after a full server", []step{breaksAfter(events(1, 2)), full, fails(500, signed), answers(events(3, 4))}, events(1, 4), false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(tc.steps...)
+			if got, aborted := c.call(t.Context(), "/draft/1", nil); aborted != tc.aborted || got.Body.String() != tc.body {
+				t.Errorf("got %q (aborted %v), want %q (aborted %v)", got.Body, aborted, tc.body, tc.aborted)
+			}
+		})
+	}
+}
+
 // TestFallbackTimerSparesAStartedStream guards against a stream being cut off at the time for its fallback answer, when its first
 // large model broke off after it had started and another one goes on.
 func TestFallbackTimerSparesAStartedStream(t *testing.T) {
