--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -205,8 +205,9 @@
 	service     *Service
 	backend     *scriptedBackend
 	fleet       *crlfleet.Fleet
-	unreachable atomic.Bool // whether every server's host is dark, so that probes get no reply
-	probeErr    error       // error of the probes of a host that is not dark; nil if connections are accepted
+	unreachable atomic.Bool   // whether every server's host is dark, so that probes get no reply
+	probeDelay  time.Duration // time until probes of a host that is not dark get a reply
+	probeErr    error         // error of such probes; nil if connections are accepted
 	confirmedAt crlclock.Instant
 	now         crlclock.Clock
 	log         *bytes.Buffer
@@ -258,7 +259,12 @@
 		<-ctx.Done()
 		return &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 	}
-	return c.probeErr
+	select {
+	case <-time.After(c.probeDelay):
+		return c.probeErr
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // setRetryBudget replaces the service's retry budget.
@@ -579,6 +585,19 @@
 	}
 }
 
+// TestLateReplyToAProbeSavesTheAnswer guards against a silent answer being ended because this VM's own link, with queues of 0.5 s in
+// both directions, delays the replies of its server's host.
+func TestLateReplyToAProbeSavesTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(pauses(10 * time.Second))
+		c.probeDelay = 1100 * time.Millisecond
+		got, aborted := c.call(t.Context(), "/draft/1", nil)
+		if aborted || got.Body.String() != events(1, 4) || len(c.backend.sent) != 1 {
+			t.Errorf("got %q (aborted %v) after %d sends, want %q after 1", got.Body, aborted, len(c.backend.sent), events(1, 4))
+		}
+	})
+}
+
 // stalledReader blocks until its request is cancelled.
 type stalledReader <-chan struct{}
 
