--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -37,13 +37,13 @@
 		if ctx.Err() != nil {
 			return x.finalRefusal(endReason(ctx, x))
 		}
-		if refusal := s.checkNextSend(x); refusal != nil {
+		pick, refusal := s.prepareSend(x, plan)
+		if refusal != nil {
+			if x.waitForServer(ctx, refusal) {
+				continue
+			}
 			return refusal
 		}
-		pick, err := s.pick(x, plan)
-		if err != nil {
-			return x.noServerRefusal(err)
-		}
 		switch s.send(ctx, x, pick, plan) {
 		case verdictAnswered:
 			return nil
@@ -59,6 +59,39 @@
 	}
 }
 
+// prepareSend picks the server of the next send, or returns the refusal that ends the request instead.
+func (s *Service) prepareSend(x *exchange, plan *modelPlan) (*crlfleet.Pick, *Refusal) {
+	if refusal := s.checkNextSend(x); refusal != nil {
+		return nil, refusal
+	}
+	pick, err := s.pick(x, plan)
+	if err != nil {
+		return nil, x.noServerRefusal(err)
+	}
+	return pick, nil
+}
+
+const (
+	// serverWait bounds the time that a started stream waits for a server and the retry budget, in all. Callers take a stream for
+	// broken after a pause of 2 s or more.
+	serverWait         = time.Second
+	serverWaitInterval = 50 * time.Millisecond // time between two looks for a server
+)
+
+// waitForServer waits before a started stream, for which there is no server or budget just now, looks again, and reports whether it
+// may. Any other request ends with its refusal at once, so that its caller can turn to another daemon.
+func (x *exchange) waitForServer(ctx context.Context, refusal *Refusal) bool {
+	if !x.stream.started || refusal.Reason == ReasonAttempts || x.waits >= int(serverWait/serverWaitInterval) {
+		return false
+	}
+	x.waits++
+	select {
+	case <-time.After(serverWaitInterval):
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // checkNextSend returns a refusal when one more send would exceed the route's attempts or the service's retry budget.
 //
 // A send that reached no server repeats no work, so the charge that it took from the retry budget covers the next send.
@@ -66,7 +99,7 @@
 	if x.sends == 0 {
 		return nil
 	}
-	if x.sends >= x.route.Attempts {
+	if !x.hasAttempts() {
 		return x.finalRefusal(ReasonAttempts)
 	}
 	if !x.reached || x.retryPaid {
@@ -78,13 +111,25 @@
 	return nil
 }
 
+// startedSendsFactor bounds the sends of a started stream, as a multiple of its route's attempts.
+const startedSendsFactor = 2
+
+// hasAttempts reports whether the route allows one more send. Once the caller has part of a stream, only sends that a server may
+// have run use up the route's attempts: the caller of a stream that is cut off can't be told that nothing ran.
+func (x *exchange) hasAttempts() bool {
+	if x.stream.started {
+		return x.runs < x.route.Attempts && x.sends < startedSendsFactor*x.route.Attempts
+	}
+	return x.sends < x.route.Attempts
+}
+
 // finalRefusal returns the refusal of a request that is not sent again. Only when no server can have run the request does
 // the refusal ask the caller to retry.
 func (x *exchange) finalRefusal(reason string) *Refusal {
 	switch {
-	case x.mayHaveRun && (reason == ReasonRouteTimeout || reason == ReasonDeadline):
+	case x.runs > 0 && (reason == ReasonRouteTimeout || reason == ReasonDeadline):
 		return newRefusal(http.StatusGatewayTimeout, reason)
-	case x.mayHaveRun:
+	case x.runs > 0:
 		return newRefusal(http.StatusBadGateway, reason)
 	case reason == ReasonDraining:
 		return unavailable(reason, drainingRetryAfter)
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -67,7 +67,7 @@
 func (s *Service) send(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if x.fallback != nil {
+	if x.fallback != nil && !x.stream.started {
 		// Ends the send in time for the fallback answer, if this server does not start to answer.
 		x.fallbackTimer = time.AfterFunc(time.Duration(objectiveFraction*float64(x.route.Objective))-time.Since(x.arrived), func() { cancel(nil) })
 		defer x.fallbackTimer.Stop()
@@ -92,7 +92,7 @@
 		}
 		return verdictAgain
 	}
-	x.mayHaveRun = true
+	x.runs++
 	pick.RecordFirstByte(result.FirstByte)
 	s.sessions.record(x.sessionKey(), pick.Version)
 	if head.Request != x.head.Request {
@@ -116,20 +116,26 @@
 func (s *Service) roundTrip(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, pick *crlfleet.Pick, plan *modelPlan) (
 	response *http.Response, connected bool, err error,
 ) {
-	var hasConnection atomic.Bool
-	request := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { hasConnection.Store(true) },
-	}), x, pick, plan)
 	var wd *watchdog
 	if x.route.Repeatable() {
 		wd = s.probes.newWatchdog(ctx, cancel, pick.Address)
 	}
+	var hasConnection atomic.Bool
+	request := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			hasConnection.Store(true)
+			if wd != nil {
+				wd.setConnection(info.Conn)
+			}
+		},
+	}), x, pick, plan)
 	response, err = s.config.Transport.RoundTrip(request)
 	connected = err == nil || hasConnection.Load()
 	if connected {
 		x.reached, x.retryPaid = true, false
 	}
 	if err == nil && wd != nil {
+		wd.endWait()
 		response.Body = &watchedBody{ReadCloser: response.Body, watchdog: wd}
 	}
 	return response, connected, err
@@ -185,7 +191,7 @@
 	result.FirstByte = 0
 	if connected {
 		pick.RecordFirstByte(waited) // The time waited so far is a lower bound of the server's waiting time.
-		x.mayHaveRun = true
+		x.runs++
 	}
 	if endedLocally(ctx) {
 		return verdictFinal
@@ -209,8 +215,13 @@
 
 // relayPlain relays a plain answer: one that is not a stream, or that has no success status. The caller gets nothing of it
 // before it is complete or longer than maxHeldReplyBytes, so that the request can be sent to another server after an
-// incomplete answer, a 5xx status or a success without a signature.
+// incomplete answer, a 5xx status or a success without a signature. An answer to a send that should have gone on with a started
+// stream is dropped.
 func (s *Service) relayPlain(ctx context.Context, x *exchange, response *http.Response, head AnswerHead) (verdict, crlfleet.Outcome) {
+	if x.stream.started {
+		x.trace.cause = "backend server did not go on with the stream"
+		return s.retryVerdict(x), crlfleet.OutcomeFailed
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeldReplyBytes+1))
 	if err != nil {
 		if endedLocally(ctx) {
