Keep kept connections open until a stopping router refuses requests

What callers saw: a request on a kept connection got neither an answer nor a refusal when its router was told to stop.

Cause: the drain closed idle connections right at the stop signal. On a router whose link or CPU is saturated, requests take up to half a second from their caller to the process, so some are on their way or already wait in the kernel. Closing the connection resets them.

Then idle ones are closed, and a connection whose request waits in the kernel (seen by MSG_PEEK) no longer counts as idle. A Read that is interrupted decides itself whether the connection closes, so that no request falls between the two.

TestKeptConnectionIsServedAfterTheStopSignal got `unexpected EOF` before and passes now; TestUnreadRequestKeepsItsConnection covers the bytes in the kernel.

--- a/crlconn/conn.go
+++ b/crlconn/conn.go
@@ -4,7 +4,10 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // conn is a tracked connection.
@@ -28,21 +31,24 @@
 // interruptDeadline is a time in the past. As the read deadline it ends a Read that waits.
 var interruptDeadline = time.Unix(1, 0)
 
-// Read reads bytes of a request.
+// Read reads bytes of a request. It fails with net.ErrClosed if the connection is closed meanwhile because no request has begun.
 func (c *conn) Read(p []byte) (int, error) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	for {
 		n, err := c.Conn.Read(p)
-		if !c.recordRead(n, len(p), err) {
+		if n > 0 || !isTimeout(err) || !c.isInterrupted() {
+			c.recordRead(n, len(p), err)
 			return n, err
 		}
+		if c.closeOrResume() {
+			return 0, net.ErrClosed
+		}
 	}
 }
 
-// recordRead records the result of a read into a buffer of the given size. It reports whether the read must be repeated, because
-// closeIfQuiet interrupted it although a request had begun.
-func (c *conn) recordRead(n, size int, err error) (again bool) {
+// recordRead records the result of a read into a buffer of the given size.
+func (c *conn) recordRead(n, size int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -53,14 +59,9 @@
 		// While a handler runs, net/http reads a single byte to notice a caller that leaves.
 		c.early = c.early || size == 1 && c.written > 0
 	}
-	if n == 0 && isTimeout(err) && c.interrupted && !c.begunAt.IsZero() {
-		c.endInterrupt()
-		return true
-	}
 	if err != nil && !isTimeout(err) {
 		c.callerLeft = true
 	}
-	return false
 }
 
 // SetReadDeadline sets the read deadline, which takes effect after an interrupt by closeIfQuiet.
@@ -80,19 +81,14 @@
 }
 
 // closeIfQuiet closes the connection unless a request has begun, or has not been preceded by another and firstToo is false. It
-// reports whether the connection is closed. No byte of a request is read from a connection that it closes.
+// reports whether the connection is closed. A request whose first bytes have reached this VM has begun, also if none was read.
 func (c *conn) closeIfQuiet(firstToo bool) bool {
 	if !c.interruptQuiet(firstToo) {
 		return false
 	}
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	if c.requestBegun() {
-		return false
-	}
-	// The error of a connection that the server has closed meanwhile says nothing new.
-	_ = c.Close()
-	return true
+	return c.closeOrResume()
 }
 
 // interruptQuiet ends a Read that waits for a request, and reports whether none has begun so far.
@@ -108,24 +104,54 @@
 	return true
 }
 
-// requestBegun reports, after interruptQuiet, whether a request has begun after all. It ends the interrupt in that case.
-func (c *conn) requestBegun() bool {
+func (c *conn) isInterrupted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.begunAt.IsZero() {
+	return c.interrupted
+}
+
+// closeOrResume ends an interrupt: it closes the connection and returns true, or puts the server's read deadline back in force if a
+// request has begun after all. c.reading must be held.
+func (c *conn) closeOrResume() (closed bool) {
+	if c.requestBegun() {
 		return false
 	}
-	c.endInterrupt()
+	// The error of a connection that the server has closed meanwhile says nothing new.
+	_ = c.Close()
 	return true
 }
 
-// endInterrupt puts the server's read deadline back in force. c.mu must be held.
-func (c *conn) endInterrupt() {
+// requestBegun reports whether a request has begun, and ends the interrupt if so.
+func (c *conn) requestBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begunAt.IsZero() && !hasUnread(c.Conn) {
+		return false
+	}
 	if c.interrupted {
 		c.interrupted = false
 		// If the deadline can't be set, the connection is closed and its next Read fails.
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
+	return true
+}
+
+// hasUnread reports whether bytes that have arrived on a connection wait in the kernel to be read. It returns false if that can't
+// be known.
+func hasUnread(c net.Conn) (unread bool) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
 }
 
 // Write writes bytes of an answer.
--- a/crlconn/tracker_test.go
+++ b/crlconn/tracker_test.go
@@ -202,3 +202,41 @@
 		}
 	})
 }
+
+// TestUnreadRequestKeepsItsConnection guards against losing a request that has reached the VM when the decision to close its idle
+// connection falls, and which a busy process has not read yet.
+func TestUnreadRequestKeepsItsConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	tracked := New(Config{}, &http.Server{}).Listener(l)
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	accepted, err := tracked.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := accepted.(*conn)
+	if _, err := io.WriteString(caller, "GET /"); err != nil {
+		t.Fatal(err)
+	}
+	for !hasUnread(c.Conn) {
+		time.Sleep(time.Millisecond)
+	}
+	if c.closeIfQuiet(true) {
+		t.Fatal("a connection with an unread request was closed")
+	}
+	p := make([]byte, 8)
+	if n, err := c.Read(p); err != nil || string(p[:n]) != "GET /" {
+		t.Errorf("read %q, error %v, want the request", p[:n], err)
+	}
+	c.recordAnswer()
+	if !c.closeIfQuiet(true) {
+		t.Error("a connection without a request was not closed")
+	}
+}
--- a/crlrouter/callers.go
+++ b/crlrouter/callers.go
@@ -80,10 +80,9 @@
 	start := time.Now()
 	r.service.Drain()
 	r.config.Logger.Event(EventDrain, slog.Int("open-requests", r.service.OpenRequests()))
-	// Callers reconnect through the load balancer.
-	s.connections.CloseIdle()
 	time.Sleep(drainAcceptDuration)
 	r.service.Close()
+	// Callers with idle connections connect to another router, through the load balancer, rather than get a refusal.
 	s.connections.CloseIdle()
 	abortAt := start.Add(r.config.Settings.Bounds.Grace - shutdownMargin - abortDuration)
 	for time.Now().Before(abortAt) && r.service.OpenRequests() > 0 {
--- a/crlrouter/callers_test.go
+++ b/crlrouter/callers_test.go
@@ -137,6 +137,28 @@
 	})
 }
 
+// TestKeptConnectionIsServedAfterTheStopSignal guards against losing requests that are on their way on kept connections when the
+// stop signal arrives: a drain that closes those connections at once never reads them.
+func TestKeptConnectionIsServedAfterTheStopSignal(t *testing.T) {
+	testDrain(t, func(t *testing.T, r *drainingRouter) {
+		const request = "GET /none HTTP/1.1\r\nHost: other\r\n\r\n"
+		c := r.dial(t)
+		send(t, c, request)
+		if status, err := answer(c); status != http.StatusNotFound || err != nil {
+			t.Fatalf("first request: got status %d, error %v", status, err)
+		}
+		r.signal()
+		time.Sleep(time.Second)
+		send(t, c, request)
+		if status, err := answer(c); status != http.StatusNotFound || err != nil {
+			t.Errorf("request one second after the stop signal: got status %d, error %v, want 404", status, err)
+		}
+		if err := <-r.stopped; !errors.Is(err, errDrained) {
+			t.Errorf("drain: got error %v, want %v", err, errDrained)
+		}
+	})
+}
+
 // TestRequestThatArrivesAtTheEndOfADrainIsAnswered guards against a drain whose last part drops requests that are still arriving.
 func TestRequestThatArrivesAtTheEndOfADrainIsAnswered(t *testing.T) {
 	testDrain(t, func(t *testing.T, r *drainingRouter) {
