Leave a dark host also where the kernel records no times of packets

Cause: the watchdog asks TCP_INFO for the time since the last packet. There the kernel fills in the structure, but leaves the times at zero, which read as a packet just now.

Change: if no time is recorded at all, the silence is unknown and the probes decide alone. A connection that is watched has sent its request at least half a second ago, so on Linux one of the three times is above zero.

--- a/crlforward/watchdog.go
+++ b/crlforward/watchdog.go
@@ -192,6 +192,9 @@
 	if err != nil || optionErr != nil {
 		return 0, false
 	}
+	if info.Last_data_sent == 0 && info.Last_data_recv == 0 && info.Last_ack_recv == 0 {
+		return 0, false // The kernel doesn't record these times: the connection was silent for longer.
+	}
 	return time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond, true
 }
 
