Keep serving peers after a failed accept

What callers would see: when a router or daemon had no free descriptor at the moment a peer connected, its process ended and every open request was cut without an answer.

Cause: Mux.Serve returned on any error of Accept, also on a passing one such as EMFILE, and the group of tasks around it ends with it. Change: Serve pauses and goes on, 5 ms doubled up to 1 s as net/http does, logs at most one line in 10 s, and ends only with its context or its listener. It doesn't tell temporary errors from others (Temporary is deprecated, and lacks ENOBUFS and ENOMEM). crlrouter.Config gets Listen, so that tests run a whole router on in-memory listeners.

--- a/crlpeer/mux.go
+++ b/crlpeer/mux.go
@@ -58,20 +58,27 @@
 	return handler(ctx, params)
 }
 
-// Serve accepts and serves connections of peers until the listener fails or ctx ends, and then waits for those that are open.
+// Serve accepts and serves connections of peers until the listener is closed or ctx ends, and then waits for those that are open.
+// After any other failure to accept it pauses and goes on.
 func (m *Mux) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	var connections sync.WaitGroup
 	defer connections.Wait()
+	var backoff acceptBackoff
 	for {
 		connection, err := listener.Accept()
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("accept connection of a peer: %w", err)
 		}
+		if err != nil {
+			backoff.wait(ctx, err)
+			continue
+		}
+		backoff.pause = 0
 		connections.Go(func() { m.serveConnection(ctx, connection) })
 	}
 }
--- /dev/null
+++ b/crlrouter/listen_test.go
@@ -0,0 +1,173 @@
+package crlrouter
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpeer"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
+	"github.com/cranberrylock/cranberrylock/crlroute"
+)
+
+// errNoDescriptor is the error of an Accept that finds no free descriptor.
+var errNoDescriptor = &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+
+// pipeListener is an in-memory listener. Its Accept fails with the errors sent to failures, and each dial makes a connection.
+type pipeListener struct {
+	connections chan net.Conn
+	failures    chan error
+	closed      chan struct{}
+	closeOnce   sync.Once // a router's tasks and their end may both close a listener
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{connections: make(chan net.Conn), failures: make(chan error), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case err := <-l.failures:
+		return nil, err
+	case <-l.closed:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: net.ErrClosed}
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.connections <- far:
+		return near, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Addresses of the listeners of a router on pipes.
+const (
+	callersAddress   = "callers"
+	readinessAddress = "readiness"
+	metricsAddress   = "metrics"
+	peersAddress     = "peers"
+)
+
+// openRouteCodec decodes every configuration as one with a public route for all paths, whose service has no server.
+type openRouteCodec struct{ testCodec }
+
+func (openRouteCodec) DecodeOrder(r crlplatform.KeyedRecord) (Order, error) {
+	return Order{Offset: r.Offset, Table: crlroute.NewTable(crlroute.TableConfig{
+		Version: 1, Services: []crlroute.Service{{Name: "s"}},
+		Routes: []crlroute.Route{{
+			Host: callersAddress, Prefix: "/", Public: true, Timeout: time.Minute, Attempts: 1, Targets: []crlroute.Target{{Service: "s", Weight: 1}},
+		}},
+	})}, nil
+}
+
+// pipeRouter is a running router on in-memory listeners, with one open request of a caller.
+type pipeRouter struct {
+	*Router
+	listeners map[string]*pipeListener
+	ended     chan error // gets what Run returns
+	body      *io.PipeWriter
+	answers   chan answer
+}
+
+// answer is how a request ended for its caller.
+type answer struct {
+	status int // 0 if its connection ended without an answer
+	err    error
+}
+
+// runOnPipes runs a router on in-memory listeners until ctx ends, and opens a request whose body is not complete.
+func runOnPipes(ctx context.Context, reload func() (*Settings, error)) *pipeRouter {
+	p := &pipeRouter{listeners: make(map[string]*pipeListener), ended: make(chan error, 1), answers: make(chan answer, 1)}
+	for _, a := range []string{callersAddress, readinessAddress, metricsAddress, peersAddress} {
+		p.listeners[a] = newPipeListener()
+	}
+	store := newMemoryStore()
+	store.put("orders", "config", "1")
+	c := newCluster(store)
+	settings := &Settings{
+		Daemon: "d", Domain: "near", Listen: callersAddress, ReadinessListen: readinessAddress, MetricsListen: metricsAddress,
+		PeerListen: peersAddress, Bounds: Bounds{RetryWindow: 10 * time.Second, Grace: 8 * time.Second},
+	}
+	if reload == nil {
+		reload = func() (*Settings, error) { return settings, nil }
+	}
+	p.Router = New(Config{
+		Settings: settings, Store: store.storeView(0), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
+		Codec: openRouteCodec{}, Dialect: testDialect{}, Peers: c.network, Clock: c.clock, Reload: reload,
+		Logger: crllog.New(crllog.Config{Output: io.Discard}),
+		Listen: func(_, address string) (net.Listener, error) { return p.listeners[address], nil },
+	})
+	go func() { p.ended <- p.Run(ctx) }()
+	time.Sleep(time.Second)
+	body, writer := io.Pipe()
+	p.body = writer
+	go func() {
+		client := &http.Client{Transport: &http.Transport{DialContext: p.listeners[callersAddress].dial, DisableKeepAlives: true}}
+		response, err := client.Post("http://callers/", "text/plain", body)
+		if err != nil {
+			p.answers <- answer{err: err}
+			return
+		}
+		_ = response.Body.Close()
+		p.answers <- answer{status: response.StatusCode}
+	}()
+	synctest.Wait()
+	return p
+}
+
+// finishRequest completes the body of the open request and returns its answer.
+func (p *pipeRouter) finishRequest() answer {
+	_ = p.body.Close()
+	return <-p.answers
+}
+
+// TestOpenRequestsOutliveAFailedAcceptOfPeers guards against a router that ends, and cuts every open request, because its peers'
+// listener has no free descriptor for a moment.
+func TestOpenRequestsOutliveAFailedAcceptOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := runOnPipes(ctx, nil)
+		p.listeners[peersAddress].failures <- errNoDescriptor
+		time.Sleep(time.Second)
+		if open := p.service.OpenRequests(); open != 1 || !p.ready() {
+			t.Errorf("after the failed accept: %d open requests, ready %v; want 1 and ready", open, p.ready())
+		}
+		client := crlpeer.NewClient(crlpeer.ClientConfig{
+			ConnectTimeout: time.Second, CallTimeout: 5 * time.Second, Dial: p.listeners[peersAddress].dial,
+		})
+		defer client.Close()
+		var response crlrelay.FollowResponse
+		if err := client.Call(ctx, peersAddress, crlrelay.MethodFollow, crlrelay.FollowRequest{}, &response); err != nil {
+			t.Errorf("call of a peer after the failed accept: %v", err)
+		}
+		if got := p.finishRequest(); got.status != http.StatusServiceUnavailable {
+			t.Errorf("open request: answer %d, error %v; want the router's answer %d", got.status, got.err, http.StatusServiceUnavailable)
+		}
+		cancel()
+		if err := <-p.ended; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -44,6 +44,7 @@
 	Dialect  crlforward.Dialect
 	Logger   *crllog.Logger
 	Peers    crlrelay.Caller // calls other routers; nil for TCP
+	Listen   Listen          // opens listeners; nil for TCP
 	Clock    crlclock.Clock  // for ages of confirmations; must advance while the VM is suspended
 	// Hangup receives SIGHUP when the settings have changed. The caller must register it when the process starts, as the signal
 	// ends a process that does not handle it.
@@ -51,6 +52,9 @@
 	Reload func() (*Settings, error) // reads the settings again
 }
 
+// Listen opens a listener on an address, as [net.Listen] does.
+type Listen func(network, address string) (net.Listener, error)
+
 // Router is one daemon of a fleet of routers.
 type Router struct {
 	config   Config
@@ -81,13 +85,9 @@
 
 // New returns a router that is not serving yet. Config.Settings must not change afterwards.
 func New(config Config) *Router {
+	config.setDefaults()
 	s := config.Settings
 	r := &Router{config: config, registry: prometheus.NewRegistry(), stop: make(chan struct{}), incarnation: crlid.NewIncarnation()}
-	if config.Peers == nil {
-		config.Peers = crlpeer.NewClient(crlpeer.ClientConfig{
-			ConnectTimeout: peerConnectTimeout, CallTimeout: crlrelay.FollowWait + peerConnectTimeout,
-		})
-	}
 	r.replicas = make(map[crlrelay.Topic]*crlrelay.Replica)
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
 		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
@@ -142,6 +142,18 @@
 	return r
 }
 
+// setDefaults sets the fields of the network that are nil to TCP.
+func (c *Config) setDefaults() {
+	if c.Peers == nil {
+		c.Peers = crlpeer.NewClient(crlpeer.ClientConfig{
+			ConnectTimeout: peerConnectTimeout, CallTimeout: crlrelay.FollowWait + peerConnectTimeout,
+		})
+	}
+	if c.Listen == nil {
+		c.Listen = net.Listen
+	}
+}
+
 // Names of the store's topics in calls between routers.
 const (
 	topicOrders  crlrelay.Topic = "orders"
@@ -258,19 +270,19 @@
 // ends taskCtx.
 func (r *Router) listen(ctx, taskCtx context.Context, group *run.Group) error {
 	s := r.config.Settings
-	callers, err := net.Listen("tcp", s.Listen)
+	callers, err := r.config.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers' requests: %w", err)
 	}
-	readiness, err := net.Listen("tcp", s.ReadinessListen)
+	readiness, err := r.config.Listen("tcp", s.ReadinessListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for readiness probes: %w", err), callers.Close())
 	}
-	metrics, err := net.Listen("tcp", s.MetricsListen)
+	metrics, err := r.config.Listen("tcp", s.MetricsListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for metrics scrapes on %q: %w", s.MetricsListen, err), callers.Close(), readiness.Close())
 	}
-	peers, err := net.Listen("tcp", s.PeerListen)
+	peers, err := r.config.Listen("tcp", s.PeerListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for calls from other routers: %w", err), callers.Close(), readiness.Close(), metrics.Close())
 	}
