Drain instead of cutting requests when a task of the router fails

What callers would see: when one of a router's loops or listeners ended, every open request was cut without an answer; a panic in a loop ended the process at once.

Cause: Router.Run joined loops and listeners in one run.Group, which ends with the first of them, and the end closes the callers' server. Change: a supervisor adds the tasks to the group so that only the drain ends it. A task that ends sooner, or panics, is logged as task-failed and starts the drain: readiness probes fail, open requests finish within the grace time, and Run returns the error, so that the process exits with 1 and is started again. That holds for the callers' listener too.

--- a/crlrouter/doc.go
+++ b/crlrouter/doc.go
@@ -16,5 +16,5 @@
 // on with the last known state. How long ago the configuration was last
 // confirmed current decides whether it still accepts requests with an API key.
 // Router.Run starts all goroutines and drains open requests when its context
-// ends.
+// ends or one of its loops or listeners fails.
 package crlrouter
--- a/crlrouter/listen_test.go
+++ b/crlrouter/listen_test.go
@@ -97,8 +97,9 @@
 	err    error
 }
 
-// runOnPipes runs a router on in-memory listeners until ctx ends, and opens a request whose body is not complete.
-func runOnPipes(ctx context.Context, reload func() (*Settings, error)) *pipeRouter {
+// runOnPipes runs a router on in-memory listeners until ctx ends, and opens a request whose body is not complete. The router calls
+// onReload at each reload of its settings.
+func runOnPipes(ctx context.Context, onReload func()) *pipeRouter {
 	p := &pipeRouter{listeners: make(map[string]*pipeListener), ended: make(chan error, 1), answers: make(chan answer, 1)}
 	for _, a := range []string{callersAddress, readinessAddress, metricsAddress, peersAddress} {
 		p.listeners[a] = newPipeListener()
@@ -110,8 +111,9 @@
 		Daemon: "d", Domain: "near", Listen: callersAddress, ReadinessListen: readinessAddress, MetricsListen: metricsAddress,
 		PeerListen: peersAddress, Bounds: Bounds{RetryWindow: 10 * time.Second, Grace: 8 * time.Second},
 	}
-	if reload == nil {
-		reload = func() (*Settings, error) { return settings, nil }
+	reload := func() (*Settings, error) {
+		onReload()
+		return settings, nil
 	}
 	p.Router = New(Config{
 		Settings: settings, Store: store.storeView(0), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
@@ -148,7 +150,7 @@
 func TestOpenRequestsOutliveAFailedAcceptOfPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		p := runOnPipes(ctx, nil)
+		p := runOnPipes(ctx, func() {})
 		p.listeners[peersAddress].failures <- errNoDescriptor
 		time.Sleep(time.Second)
 		if open := p.service.OpenRequests(); open != 1 || !p.ready() {
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -204,27 +203,30 @@
 	EventDrain  crllog.Event = "drain"
 )
 
-// Run serves until ctx ends and then drains open requests. It returns nil after a drain, also if requests were cut off, and an
-// error if it can't listen on one of its addresses or a listener fails. Run must be called at most once.
+// Run serves until ctx ends or a task fails, and then drains open requests. It returns nil after a drain that the end of ctx
+// started, also if requests were cut off, and an error if it can't listen on one of its addresses or a task failed. Run must be
+// called at most once.
 func (r *Router) Run(ctx context.Context) error {
 	s := r.config.Settings
 	debug.SetGCPercent(gcPercent)
 	r.applySettings(s)
 	r.config.Logger.Event(EventStart, slog.String("daemon", string(s.Daemon)), slog.String("failure-domain", string(s.Domain)),
 		slog.String("incarnation", string(r.incarnation)))
-	var group run.Group
 	taskCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	draining, startDrain := context.WithCancelCause(ctx)
+	defer startDrain(nil)
+	group := &supervisor{logger: r.config.Logger, ended: taskCtx.Done(), startDrain: startDrain}
 	for _, task := range append(r.tasks(), r.reload) {
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
 	}
-	if err := r.listen(ctx, taskCtx, &group); err != nil {
+	if err := r.listen(draining, taskCtx, group); err != nil {
 		return err
 	}
 	err := group.Run()
 	r.config.Logger.Event(EventStop, slog.String("cause", fmt.Sprint(err)), slog.Int("open-requests", r.service.OpenRequests()))
-	if errors.Is(err, errDrained) || errors.Is(err, context.Canceled) {
-		return nil
+	if errors.Is(err, errDrained) {
+		return failure(draining)
 	}
 	return err
 }
@@ -268,7 +270,7 @@
 
 // listen opens the listeners and adds their servers to the group. The end of ctx starts the drain, after which the group
 // ends taskCtx.
-func (r *Router) listen(ctx, taskCtx context.Context, group *run.Group) error {
+func (r *Router) listen(ctx, taskCtx context.Context, group *supervisor) error {
 	s := r.config.Settings
 	callers, err := r.config.Listen("tcp", s.Listen)
 	if err != nil {
@@ -296,7 +298,7 @@
 	group.Add(func() error { return probe.Serve(metrics) }, func(error) { _ = probe.Close() })
 	callerServer := &http.Server{Handler: r.service}
 	group.Add(func() error { return r.serve(taskCtx, callerServer, callers) }, func(error) { _ = callerServer.Close() })
-	group.Add(func() error { return r.drain(ctx, callerServer) }, func(error) { close(r.stop) })
+	group.AddDrain(func() error { return r.drain(ctx, callerServer) }, func(error) { close(r.stop) })
 	return nil
 }
 
