Log connections that a router's listeners could not accept

What operators would see: nothing in the router's log when a listener has no free descriptor; net/http writes such failures to standard error only, and crlpeer by klog.

Change: every listener of a router logs a failed accept as accept-failed, with its address, the cause and the number of open requests. The servers pause after each failure, at last 1 s, and crllog keeps at most 100 lines a second. Evidence: TestFailedAcceptsAreLogged failed before with "0 lines of failed accepts, want 4"; it passes in 100 of 100 runs with -race.

--- a/crlrouter/listen_test.go
+++ b/crlrouter/listen_test.go
@@ -1,11 +1,13 @@
 package crlrouter
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -85,6 +87,7 @@
 // pipeRouter is a running router on in-memory listeners, with one open request of a caller.
 type pipeRouter struct {
 	*Router
+	output    *bytes.Buffer // log, to be read after the router has ended and its logger was run
 	listeners map[string]*pipeListener
 	ended     chan error // gets what Run returns
 	body      *io.PipeWriter
@@ -100,7 +103,9 @@
 // runOnPipes runs a router on in-memory listeners until ctx ends, and opens a request whose body is not complete. The router calls
 // onReload at each reload of its settings.
 func runOnPipes(ctx context.Context, onReload func()) *pipeRouter {
-	p := &pipeRouter{listeners: make(map[string]*pipeListener), ended: make(chan error, 1), answers: make(chan answer, 1)}
+	p := &pipeRouter{
+		output: new(bytes.Buffer), listeners: make(map[string]*pipeListener), ended: make(chan error, 1), answers: make(chan answer, 1),
+	}
 	for _, a := range []string{callersAddress, readinessAddress, metricsAddress, peersAddress} {
 		p.listeners[a] = newPipeListener()
 	}
@@ -118,7 +123,7 @@
 	p.Router = New(Config{
 		Settings: settings, Store: store.storeView(0), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
 		Codec: openRouteCodec{}, Dialect: testDialect{}, Peers: c.network, Clock: c.clock, Reload: reload,
-		Logger: crllog.New(crllog.Config{Output: io.Discard}),
+		Logger: crllog.New(crllog.Config{Output: p.output}),
 		Listen: func(_, address string) (net.Listener, error) { return p.listeners[address], nil },
 	})
 	go func() { p.ended <- p.Run(ctx) }()
@@ -173,3 +178,33 @@
 		}
 	})
 }
+
+// TestFailedAcceptsAreLogged guards against a router whose log doesn't tell that it accepted no connections, on any listener.
+func TestFailedAcceptsAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := runOnPipes(ctx, func() {})
+		for _, l := range p.listeners {
+			l.failures <- errNoDescriptor
+		}
+		synctest.Wait()
+		p.finishRequest()
+		cancel()
+		if err := <-p.ended; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+		if err := p.config.Logger.Run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		got := p.output.String()
+		for address := range p.listeners {
+			line := `"event":"accept-failed","listen":"` + address + `","cause":"accept tcp: accept4: too many open files","open-requests":1`
+			if n := strings.Count(got, line); n != 1 {
+				t.Errorf("%d lines with %s in the log, want 1:\n%s", n, line, got)
+			}
+		}
+		if n := strings.Count(got, string(EventAcceptFailed)); n != len(p.listeners) {
+			t.Errorf("%d lines of failed accepts, want %d:\n%s", n, len(p.listeners), got)
+		}
+	})
+}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -272,19 +272,19 @@
 // ends taskCtx.
 func (r *Router) listen(ctx, taskCtx context.Context, group *supervisor) error {
 	s := r.config.Settings
-	callers, err := r.config.Listen("tcp", s.Listen)
+	callers, err := r.openListener(s.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers' requests: %w", err)
 	}
-	readiness, err := r.config.Listen("tcp", s.ReadinessListen)
+	readiness, err := r.openListener(s.ReadinessListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for readiness probes: %w", err), callers.Close())
 	}
-	metrics, err := r.config.Listen("tcp", s.MetricsListen)
+	metrics, err := r.openListener(s.MetricsListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for metrics scrapes on %q: %w", s.MetricsListen, err), callers.Close(), readiness.Close())
 	}
-	peers, err := r.config.Listen("tcp", s.PeerListen)
+	peers, err := r.openListener(s.PeerListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for calls from other routers: %w", err), callers.Close(), readiness.Close(), metrics.Close())
 	}
