Go on when nobody reads the output of a router or daemon

What callers would see: when the reader of the standard output or standard error of cranberrylock-router or cranberrylockd goes, as when a collector of log lines restarts, the next line ends the process by SIGPIPE, and every open request is cut without an answer. It needs an output that is a pipe or a socket.

Cause: Go ends a process that writes to a broken pipe on descriptor 1 or 2, unless SIGPIPE is handled. Change: both programs ignore SIGPIPE. The write then fails, and crllog counts the line as dropped.

--- a/cmd/cranberrylock-router/main.go
+++ b/cmd/cranberrylock-router/main.go
@@ -27,6 +27,8 @@
 	// Registered before anything else, since the default action of SIGHUP ends the process.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	// By default a write to standard output or standard error ends the process when the reader of that pipe has gone.
+	signal.Ignore(syscall.SIGPIPE)
 	var o options
 	if exit, ok := crlcommand.Parse(&o, arguments); !ok {
 		return exit
--- a/cmd/cranberrylockd/main.go
+++ b/cmd/cranberrylockd/main.go
@@ -24,6 +24,8 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
+	// By default a write to standard output or standard error ends the process when the reader of that pipe has gone.
+	signal.Ignore(syscall.SIGPIPE)
 	var o options
 	if exit, ok := crlcommand.Parse(&o, arguments); !ok {
 		return exit
