--- a/crlfake/listener.go
+++ b/crlfake/listener.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 )
 
+// ErrNoDescriptor is the error of an Accept that finds no free descriptor.
+var ErrNoDescriptor error = &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+
 // Listener is an in-memory listener without an address, for tests of one server. Unlike the listeners of a Network, its Accept
 // can be made to fail.
 type Listener struct {
--- a/crlrouter/callers.go
+++ b/crlrouter/callers.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -31,6 +32,7 @@
 	http        *http.Server
 	listener    net.Listener
 	connections *crlconn.Tracker
+	closing     atomic.Bool // whether drain closes the listener
 }
 
 func (r *Router) newCallerServer(listener net.Listener) *callerServer {
@@ -40,7 +42,7 @@
 	return s
 }
 
-// serve accepts callers' connections until the listener is closed, and then waits for the end of ctx. It takes the limits from
+// serve accepts callers' connections until drain closes the listener, and then waits for the end of ctx. It takes the limits from
 // the first configuration if that arrives within initialTableTimeout, and keeps them.
 func (s *callerServer) serve(ctx context.Context) error {
 	table := &s.router.orders.current
@@ -58,7 +60,7 @@
 			s.http.ReadHeaderTimeout = limits.HeaderTimeout
 		}
 	}
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !s.closing.Load() {
 		return fmt.Errorf("serve callers' requests: %w", err)
 	}
 	<-ctx.Done() // The listener is closed, but open requests continue until the drain ends.
@@ -88,8 +90,9 @@
 	for time.Now().Before(abortAt) && r.service.OpenRequests() > 0 {
 		time.Sleep(drainPollInterval)
 	}
+	s.closing.Store(true)
 	if err := s.listener.Close(); err != nil {
-		return fmt.Errorf("%w, and closing the listener failed: %w", errDrained, err)
+		r.config.Logger.Event(EventAcceptFailed, slog.String("listen", r.config.Settings.Listen), slog.String("cause", err.Error()))
 	}
 	beforeAbort, cancel := context.WithDeadline(context.WithoutCancel(ctx), abortAt)
 	defer cancel()
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -44,6 +43,7 @@
 	Dialect  crlforward.Dialect
 	Logger   *crllog.Logger
 	Peers    crlrelay.Caller // calls other routers; nil for TCP
+	Listen   Listen          // opens listeners; nil for TCP
 	// Transport carries sends to backend servers.
 	Transport http.RoundTripper
 	Clock     crlclock.Clock // for ages of confirmations; must advance while the VM is suspended
@@ -53,6 +53,9 @@
 	Reload func() (*Settings, error) // reads the settings again
 }
 
+// Listen opens a listener on an address, as [net.Listen] does.
+type Listen func(network, address string) (net.Listener, error)
+
 // Router is one daemon of a fleet of routers.
 type Router struct {
 	config   Config
@@ -83,13 +86,9 @@
 
 // New returns a router that is not serving yet. Config.Settings must not change afterwards.
 func New(config Config) *Router {
+	config.setDefaults()
 	s := config.Settings
 	r := &Router{config: config, registry: prometheus.NewRegistry(), stop: make(chan struct{}), incarnation: crlid.NewIncarnation()}
-	if config.Peers == nil {
-		config.Peers = crlpeer.NewClient(crlpeer.ClientConfig{
-			ConnectTimeout: peerConnectTimeout, CallTimeout: crlrelay.FollowWait + peerConnectTimeout,
-		})
-	}
 	r.replicas = make(map[crlrelay.Topic]*crlrelay.Replica)
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
 		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
@@ -144,6 +143,18 @@
 	return r
 }
 
+// setDefaults sets the fields of the network that are nil to TCP.
+func (c *Config) setDefaults() {
+	if c.Peers == nil {
+		c.Peers = crlpeer.NewClient(crlpeer.ClientConfig{
+			ConnectTimeout: peerConnectTimeout, CallTimeout: crlrelay.FollowWait + peerConnectTimeout,
+		})
+	}
+	if c.Listen == nil {
+		c.Listen = net.Listen
+	}
+}
+
 // Names of the store's topics in calls between routers.
 const (
 	topicOrders  crlrelay.Topic = "orders"
@@ -201,27 +212,30 @@
 	EventUnanswered crllog.Event = "unanswered"
 )
 
-// Run serves until ctx ends and then drains open requests. It returns nil after a drain, also if requests were cut off, and an
-// error if it can't listen on one of its addresses or a listener fails. Run must be called at most once.
+// Run serves until ctx ends or a task fails, and then drains open requests. It returns nil after a drain that the end of ctx
+// started, also if requests were cut off, and an error if it can't listen on one of its addresses or a task failed. Run must be
+// called at most once.
 func (r *Router) Run(ctx context.Context) error {
 	s := r.config.Settings
 	debug.SetGCPercent(gcPercent)
 	r.applySettings(s)
 	r.config.Logger.Event(EventStart, slog.String("daemon", string(s.Daemon)), slog.String("failure-domain", string(s.Domain)),
 		slog.String("incarnation", string(r.incarnation)))
-	var group run.Group
 	taskCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	draining, startDrain := context.WithCancelCause(ctx)
+	defer startDrain(nil)
+	group := &supervisor{logger: r.config.Logger, ended: taskCtx.Done(), startDrain: startDrain}
 	for _, task := range append(r.tasks(), r.reload) {
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
 	}
-	if err := r.listen(ctx, taskCtx, &group); err != nil {
+	if err := r.listen(draining, taskCtx, group); err != nil {
 		return err
 	}
 	err := group.Run()
 	r.config.Logger.Event(EventStop, slog.String("cause", fmt.Sprint(err)), slog.Int("open-requests", r.service.OpenRequests()))
-	if errors.Is(err, errDrained) || errors.Is(err, context.Canceled) {
-		return nil
+	if errors.Is(err, errDrained) {
+		return failure(draining)
 	}
 	return err
 }
@@ -265,21 +279,21 @@
 
 // listen opens the listeners and adds their servers to the group. The end of ctx starts the drain, after which the group
 // ends taskCtx.
-func (r *Router) listen(ctx, taskCtx context.Context, group *run.Group) error {
+func (r *Router) listen(ctx, taskCtx context.Context, group *supervisor) error {
 	s := r.config.Settings
-	callers, err := net.Listen("tcp", s.Listen)
+	callers, err := r.openListener(s.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers' requests: %w", err)
 	}
-	readiness, err := net.Listen("tcp", s.ReadinessListen)
+	readiness, err := r.openListener(s.ReadinessListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for readiness probes: %w", err), callers.Close())
 	}
-	metrics, err := net.Listen("tcp", s.MetricsListen)
+	metrics, err := r.openListener(s.MetricsListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for metrics scrapes on %q: %w", s.MetricsListen, err), callers.Close(), readiness.Close())
 	}
-	peers, err := net.Listen("tcp", s.PeerListen)
+	peers, err := r.openListener(s.PeerListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for calls from other routers: %w", err), callers.Close(), readiness.Close(), metrics.Close())
 	}
@@ -293,7 +307,7 @@
 	group.Add(func() error { return probe.Serve(metrics) }, func(error) { _ = probe.Close() })
 	server := r.newCallerServer(callers)
 	group.Add(func() error { return server.serve(taskCtx) }, func(error) { _ = server.http.Close() })
-	group.Add(func() error { return server.drain(ctx) }, func(error) { close(r.stop) })
+	group.AddDrain(func() error { return server.drain(ctx) }, func(error) { close(r.stop) })
 	return nil
 }
 
