Keep the lines of cut requests when many other requests end

The busy router ended several hundred requests a second, and the limit of 100 `request` lines a second suppressed the rest.

Change: a request whose answer the router cut off is logged as `request-cut`, with a limit of its own. A caller that leaves is no cut.

Evidence: TestLinesOfCutRequestsAreKeptUnderLoad found no line before and passes now.

--- a/crlforward/explain_test.go
+++ b/crlforward/explain_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crllog"
 )
 
 // requestLine holds the fields of a request's log line that docs/OPERATIONS.md refers to.
@@ -36,7 +38,8 @@
 	}
 	for text := range strings.Lines(c.log.String()) {
 		var l requestLine
-		if strings.Contains(text, request) && json.Unmarshal([]byte(text), &l) == nil && l.Event == string(EventRequest) {
+		if strings.Contains(text, request) && json.Unmarshal([]byte(text), &l) == nil &&
+			(l.Event == string(EventRequest) || l.Event == string(EventRequestCut)) {
 			return l
 		}
 	}
@@ -83,7 +86,20 @@
 		t.Error("a stream that breaks and can't go on is not aborted")
 	}
 	l := c.findLine(t, "r1")
-	if l.Status != 0 || l.Draining == nil || !*l.Draining || l.ConfigurationAge == nil {
+	if l.Event != string(EventRequestCut) || l.Status != 0 || l.Draining == nil || !*l.Draining || l.ConfigurationAge == nil {
 		t.Errorf("line %+v does not show a request that was cut while the daemon drained, and the age of the configuration", l)
 	}
 }
+
+// TestLinesOfCutRequestsAreKeptUnderLoad guards against an answer that is cut off without a trace, because the lines of other
+// requests have used up the limit.
+func TestLinesOfCutRequestsAreKeptUnderLoad(t *testing.T) {
+	c := newCluster(breaksAfter(events(1, 2)))
+	for range 2 * crllog.DefaultRate {
+		c.call(t.Context(), "/none/1", map[string]string{"X-Request": "other"})
+	}
+	c.call(t.Context(), "/once/1", nil)
+	if l := c.findLine(t, "r1"); l.Outcome != "broken-"+ReasonOutcomeUnknown {
+		t.Errorf("line %+v is not that of the request that was cut off", l)
+	}
+}
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -13,6 +13,7 @@
 // Events that a Service logs.
 const (
 	EventRequest          crllog.Event = "request"           // logged once for each request, when the request has ended
+	EventRequestCut       crllog.Event = "request-cut"       // logged instead of EventRequest for a request whose answer the router cut off
 	EventVersionMarkedBad crllog.Event = "version-condemned" // logged when this daemon's observations mark a version bad
 )
 
@@ -79,7 +80,11 @@
 	if status == 0 || s.Draining() {
 		attributes = append(attributes, s.cutAttributes(x)...)
 	}
-	s.config.Log.Event(EventRequest, attributes...)
+	event := EventRequest
+	if status == 0 && x.request.Context().Err() == nil {
+		event = EventRequestCut // It has a limit of lines of its own, so that other requests' lines don't displace it.
+	}
+	s.config.Log.Event(event, attributes...)
 	s.config.Metrics.observe(x, duration)
 }
 
