Test the end of the grace time after the callers' listener failed

What callers would see: after an error of the callers' listener that isn't temporary, net/http closes it, and the drain's own Close fails. A drain that ended at that failure would cut the requests that are open at the end of the grace time without an answer. callers.go goes on today; no test kept it so.

Change: the in-memory listeners of the tests of a whole router fail to close twice, as TCP listeners do, its route isn't idempotent, and its servers never answer. TestGraceTimeEndsAfterTheCallersListenerFailed is new.

--- a/crlrouter/listen_test.go
+++ b/crlrouter/listen_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,19 @@
 	"github.com/cranberrylock/cranberrylock/crlroute"
 )
 
+// strictListener fails to close twice, as a TCP listener does.
+type strictListener struct {
+	*crlfake.Listener
+	closed atomic.Bool
+}
+
+func (l *strictListener) Close() error {
+	if l.closed.Swap(true) {
+		return &net.OpError{Op: "close", Net: "tcp", Err: net.ErrClosed}
+	}
+	return l.Listener.Close()
+}
+
 // Addresses of the listeners of a router on pipes.
 const (
 	callersAddress   = "callers"
@@ -27,14 +41,14 @@
 	peersAddress     = "peers"
 )
 
-// openRouteCodec decodes every configuration as one with a public route for all paths, whose service has no server.
+// openRouteCodec decodes every configuration as one with a public route for all paths, whose service has no server at first.
 type openRouteCodec struct{ testCodec }
 
 func (openRouteCodec) DecodeOrder(r crlplatform.KeyedRecord) (Order, error) {
 	return Order{Offset: r.Offset, Table: crlroute.NewTable(crlroute.TableConfig{
 		Version: 1, Services: []crlroute.Service{{Name: "s"}},
 		Routes: []crlroute.Route{{
-			Host: callersAddress, Prefix: "/", Public: true, Timeout: time.Minute, Attempts: 1, Targets: []crlroute.Target{{Service: "s", Weight: 1}},
+			Host: callersAddress, Prefix: "/", Kind: crlroute.KindNonIdempotent, Public: true, Timeout: time.Minute, Attempts: 1, Targets: []crlroute.Target{{Service: "s", Weight: 1}},
 		}},
 	})}, nil
 }
@@ -42,6 +56,7 @@
 // pipeRouter is a running router on in-memory listeners, with one open request of a caller.
 type pipeRouter struct {
 	*Router
+	store     *memoryStore
 	output    *bytes.Buffer // log, to be read after the router has ended and its logger was run
 	listeners map[string]*crlfake.Listener
 	ended     chan error // gets what Run returns
@@ -64,9 +79,9 @@
 	for _, a := range []string{callersAddress, readinessAddress, metricsAddress, peersAddress} {
 		p.listeners[a] = crlfake.NewListener()
 	}
-	store := newMemoryStore()
-	store.put("orders", "config", "1")
-	c := newCluster(store)
+	p.store = newMemoryStore()
+	p.store.put("orders", "config", "1")
+	c := newCluster(p.store)
 	settings := &Settings{
 		Daemon: "d", Domain: "near", Listen: callersAddress, ReadinessListen: readinessAddress, MetricsListen: metricsAddress,
 		PeerListen: peersAddress, Bounds: Bounds{RetryWindow: 10 * time.Second, Grace: 8 * time.Second},
@@ -76,10 +91,13 @@
 		return settings, nil
 	}
 	p.Router = New(Config{
-		Settings: settings, Store: store.storeView(0), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
+		Settings: settings, Store: p.store.storeView(0), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
 		Codec: openRouteCodec{}, Dialect: testDialect{}, Peers: c.network, Clock: c.clock, Reload: reload,
 		Logger: crllog.New(crllog.Config{Output: p.output}),
-		Listen: func(_, address string) (net.Listener, error) { return p.listeners[address], nil },
+		Listen: func(_, address string) (net.Listener, error) {
+			return &strictListener{Listener: p.listeners[address]}, nil
+		},
+		Transport: silentServer{},
 	})
 	go func() { p.ended <- p.Run(ctx) }()
 	time.Sleep(time.Second)
--- a/crlrouter/supervise_test.go
+++ b/crlrouter/supervise_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +79,22 @@
 		}
 	})
 }
+
+// TestGraceTimeEndsAfterTheCallersListenerFailed guards against a drain that cuts the requests that are open at its end without an
+// answer, because the listener that it closes was closed when it failed.
+func TestGraceTimeEndsAfterTheCallersListenerFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// net/http closes the listener after an error that isn't temporary.
+		errNoBuffers := &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.ENOBUFS)}
+		p := runOnPipes(t.Context(), func() {})
+		p.store.put("servers", "i-1", "v1")
+		time.Sleep(2 * time.Second)
+		p.listeners[callersAddress].Fail(t.Context(), errNoBuffers)
+		if got := p.finishRequest(); got.status < http.StatusInternalServerError {
+			t.Errorf("request whose server never answers: answer %d, error %v; want a refusal", got.status, got.err)
+		}
+		if err := <-p.ended; !errors.Is(err, errNoBuffers) {
+			t.Errorf("Run returned %v, want %v", err, errNoBuffers)
+		}
+	})
+}
