Refuse a request of an overloaded router before its body is read

What callers would see: a router whose callers send many bodies at once ends for want of memory, and every open request is cut.

Cause: the limit of open requests was checked after the whole body was in memory, so it bounded the sends and not the memory that it is derived from.

Change: the check is a filter of its own ahead of the body. The refusal is the same 503.

--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -169,7 +169,7 @@
 // admit runs the filters that come before the first send, and returns the refusal of the first one that refuses.
 func (s *Service) admit(ctx context.Context, x *exchange) *Refusal {
 	for _, filter := range []func(context.Context, *exchange) *Refusal{
-		s.readHead, s.findRoute, s.authenticate, s.checkConfirmation, s.readBody, s.chooseService,
+		s.readHead, s.findRoute, s.authenticate, s.checkConfirmation, s.checkOverload, s.readBody, s.chooseService,
 	} {
 		if refusal := filter(ctx, x); refusal != nil {
 			return refusal
@@ -230,6 +230,14 @@
 	return nil
 }
 
+// checkOverload refuses the request if too many are open. Its body takes memory, so it is not read before.
+func (s *Service) checkOverload(context.Context, *exchange) *Refusal {
+	if int(s.openRequests.Load()) > s.config.MaxOpenRequests {
+		return unavailable(ReasonOverloaded, overloadRetryAfter)
+	}
+	return nil
+}
+
 // readBody reads the whole body into memory, as it may be sent more than once. It also sets the request's deadline, at which
 // reading fails, and refuses a body above the size limit.
 func (s *Service) readBody(_ context.Context, x *exchange) *Refusal {
@@ -277,12 +285,9 @@
 	x.deadline = x.arrived.Add(wait)
 }
 
-// chooseService refuses the request if too many are open, and otherwise selects one of the route's services by weight. The
-// choice depends on the request id alone, so a repeated request gets the same service.
+// chooseService selects one of the route's services by weight. The choice depends on the request id alone, so a repeated request
+// gets the same service.
 func (s *Service) chooseService(_ context.Context, x *exchange) *Refusal {
-	if int(s.openRequests.Load()) > s.config.MaxOpenRequests {
-		return unavailable(ReasonOverloaded, overloadRetryAfter)
-	}
 	hash := xxhash.Sum64String(string(x.head.Request))
 	name, ok := x.route.Pick(hash)
 	if x.service = x.table.Service(name); !ok || x.service == nil {
