Don't blame a server for a dial that fails on this VM

What callers would see: refusals and ended streams, because a router without a free descriptor, port or buffer for new connections leaves one healthy server after another.

Cause: each dial that failed counted as an unreachable server, whatever failed.

Change: EMFILE, ENFILE, EADDRNOTAVAIL, ENOBUFS and ENOMEM are neutral for the server's health. The request goes to the next server as before.

Evidence: TestDialsThatFailOnThisVMDontBlameTheServer; before, handleNoResponse gave OutcomeUnreachable for every error.

--- a/crlforward/overload_test.go
+++ b/crlforward/overload_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlfleet"
 )
 
 // TestOverloadIsRefusedBeforeTheBody guards against a daemon that ends for want of memory, and cuts every open request, because it
@@ -50,3 +55,24 @@
 		}
 	})
 }
+
+// TestDialsThatFailOnThisVMDontBlameTheServer guards against healthy servers being left because this daemon has no free descriptor
+// or port for a connection to them.
+func TestDialsThatFailOnThisVMDontBlameTheServer(t *testing.T) {
+	for _, tc := range []struct {
+		call   string
+		causes []syscall.Errno
+		want   crlfleet.Outcome
+	}{
+		{"socket", []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}, crlfleet.OutcomeNeutral},
+		{"connect", []syscall.Errno{syscall.EADDRNOTAVAIL}, crlfleet.OutcomeNeutral},
+		{"connect", []syscall.Errno{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EHOSTUNREACH, syscall.ETIMEDOUT}, crlfleet.OutcomeUnreachable},
+	} {
+		for _, cause := range tc.causes {
+			err := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError(tc.call, cause)}
+			if got := dialOutcome(err); got != tc.want {
+				t.Errorf("dial that failed with %v: got outcome %v, want %v", cause, got, tc.want)
+			}
+		}
+	}
+}
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlbudget"
@@ -197,7 +199,7 @@
 		return verdictFinal
 	}
 	if !connected {
-		result.Outcome = crlfleet.OutcomeUnreachable
+		result.Outcome = dialOutcome(err)
 		return verdictAgain
 	}
 	result.Outcome = failureOutcome(ctx)
@@ -205,6 +207,17 @@
 	return s.retryVerdict(x)
 }
 
+// dialOutcome returns the outcome that a failed dial has for its server's health. A lack of descriptors, ports or buffers on this VM
+// says nothing about the server.
+func dialOutcome(err error) crlfleet.Outcome {
+	for _, local := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, local) {
+			return crlfleet.OutcomeNeutral
+		}
+	}
+	return crlfleet.OutcomeUnreachable
+}
+
 // retryVerdict returns the verdict on a failed request that a server may have run: only a repeatable one is sent again.
 func (s *Service) retryVerdict(x *exchange) verdict {
 	if x.route.Repeatable() {
