Log no failed accept when a drain finds its listener closed

What operators saw: after the callers' listener had failed, the drain that this starts logged a second, misleading accept-failed line, since closing a closed listener is an error. Found in review; TestGraceTimeEndsAfterTheCallersListenerFailed covers the case.

--- a/crlrouter/callers.go
+++ b/crlrouter/callers.go
@@ -91,7 +91,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	s.closing.Store(true)
-	if err := s.listener.Close(); err != nil {
+	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		r.config.Logger.Event(EventAcceptFailed, slog.String("listen", r.config.Settings.Listen), slog.String("cause", err.Error()))
 	}
 	beforeAbort, cancel := context.WithDeadline(context.WithoutCancel(ctx), abortAt)
