Treat a connection as quiet only while its server waits for a request

What callers would see: with a request sent right behind another on one connection, the second was cut by a drain while its handler ran.

Cause: a connection counted as quiet when no byte had been read since the last answer. net/http may have read the next request together with the one before it.

Change: a connection is quiet only while the server waits in Read, no handler runs and no byte was read. The Tracker wraps the server's handler to know that. The special case for the single byte that net/http reads beside a handler is not needed any more.

--- a/crlconn/conn.go
+++ b/crlconn/conn.go
@@ -10,35 +10,41 @@
 	"golang.org/x/sys/unix"
 )
 
-// conn is a tracked connection.
+// conn is a tracked connection. It is quiet while the server waits in Read for the first byte of a request.
+//
+// To close a quiet connection, closeIfQuiet interrupts the Read by a deadline in the past. The Read then decides under the lock that
+// it holds: it closes the connection, or resumes if a request has arrived after all.
 type conn struct {
 	net.Conn
 	tracker    *Tracker
 	acceptedAt time.Time
 	reading    sync.Mutex // held during each Read; locked before mu
 	mu         sync.Mutex // guards the fields below
+	waiting    bool       // whether a Read is in progress
+	serving    bool       // whether a handler runs
 	begunAt    time.Time  // when the first byte of the open request was read; zero without an open request
 	read       int64      // bytes read since the last answer
 	written    int64      // bytes written since the last answer
-	early      bool       // whether the first byte of the next request was read before the answer was recorded
 	answers    int        // requests that were answered
-	callerLeft bool       // whether a read failed, as it does once the caller has closed the connection
+	readFailed bool       // whether a read failed, as it does once the caller has closed the connection
 
 	readDeadline time.Time // read deadline that the server set
-	interrupted  bool      // whether an earlier read deadline is in force, which closeIfQuiet set to end a Read that waits
+	interrupted  bool      // whether interruptDeadline is in force instead of readDeadline
 }
 
 // interruptDeadline is a time in the past. As the read deadline it ends a Read that waits.
 var interruptDeadline = time.Unix(1, 0)
 
-// Read reads bytes of a request. It fails with net.ErrClosed if the connection is closed meanwhile because no request has begun.
+// Read reads bytes of a request. It fails with net.ErrClosed if the connection is closed meanwhile because it is quiet.
 func (c *conn) Read(p []byte) (int, error) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
+	c.setWaiting(true)
+	defer c.setWaiting(false)
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 || !isTimeout(err) || !c.isInterrupted() {
-			c.recordRead(n, len(p), err)
+			c.recordRead(n, err)
 			return n, err
 		}
 		if c.closeOrResume() {
@@ -47,8 +53,20 @@
 	}
 }
 
-// recordRead records the result of a read into a buffer of the given size.
-func (c *conn) recordRead(n, size int, err error) {
+func (c *conn) setWaiting(waiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = waiting
+}
+
+func (c *conn) setServing(serving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = serving
+}
+
+// recordRead records the result of a read.
+func (c *conn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -56,11 +74,9 @@
 			c.begunAt = time.Now()
 		}
 		c.read += int64(n)
-		// While a handler runs, net/http reads a single byte to notice a caller that leaves.
-		c.early = c.early || size == 1 && c.written > 0
 	}
 	if err != nil && !isTimeout(err) {
-		c.callerLeft = true
+		c.readFailed = true
 	}
 }
 
@@ -80,22 +96,22 @@
 	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
 }
 
-// closeIfQuiet closes the connection unless a request has begun, or has not been preceded by another and firstToo is false. It
-// reports whether the connection is closed. A request whose first bytes have reached this VM has begun, also if none was read.
-func (c *conn) closeIfQuiet(firstToo bool) bool {
-	if !c.interruptQuiet(firstToo) {
+// closeIfQuiet closes the connection if it is quiet, and reports whether it has. Unless unusedToo is set, it leaves alone a
+// connection that has not had a request yet.
+func (c *conn) closeIfQuiet(unusedToo bool) (closed bool) {
+	if !c.interruptIfQuiet(unusedToo) {
 		return false
 	}
-	c.reading.Lock()
+	c.reading.Lock() // Waits for the interrupted Read.
 	defer c.reading.Unlock()
 	return c.closeOrResume()
 }
 
-// interruptQuiet ends a Read that waits for a request, and reports whether none has begun so far.
-func (c *conn) interruptQuiet(firstToo bool) bool {
+// interruptIfQuiet interrupts the Read of a connection that is quiet, and reports whether it was.
+func (c *conn) interruptIfQuiet(unusedToo bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.begunAt.IsZero() || c.answers == 0 && !firstToo {
+	if !c.waiting || c.serving || !c.begunAt.IsZero() || c.answers == 0 && !unusedToo {
 		return false
 	}
 	c.interrupted = true
@@ -110,30 +126,28 @@
 	return c.interrupted
 }
 
-// closeOrResume ends an interrupt: it closes the connection and returns true, or puts the server's read deadline back in force if a
-// request has begun after all. c.reading must be held.
+// closeOrResume ends an interrupt: it closes the connection and returns true, unless bytes of a request were read or wait in the
+// kernel. c.reading must be held.
 func (c *conn) closeOrResume() (closed bool) {
-	if c.requestBegun() {
+	c.mu.Lock()
+	if !c.begunAt.IsZero() || hasUnread(c.Conn) {
+		c.resume()
+		c.mu.Unlock()
 		return false
 	}
+	c.mu.Unlock()
 	// The error of a connection that the server has closed meanwhile says nothing new.
 	_ = c.Close()
 	return true
 }
 
-// requestBegun reports whether a request has begun, and ends the interrupt if so.
-func (c *conn) requestBegun() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.begunAt.IsZero() && !hasUnread(c.Conn) {
-		return false
-	}
+// resume puts the server's read deadline back in force. c.mu must be held.
+func (c *conn) resume() {
 	if c.interrupted {
 		c.interrupted = false
 		// If the deadline can't be set, the connection is closed and its next Read fails.
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
-	return true
 }
 
 // hasUnread reports whether bytes that have arrived on a connection wait in the kernel to be read. It returns false if that can't
@@ -184,7 +198,7 @@
 func (c *conn) reportUnanswered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.tracker.config.OnUnanswered == nil || c.begunAt.IsZero() || c.written > 0 || c.callerLeft {
+	if c.tracker.config.OnUnanswered == nil || c.begunAt.IsZero() || c.written > 0 || c.readFailed {
 		return
 	}
 	c.tracker.config.OnUnanswered(Closed{
@@ -203,9 +217,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begunAt, c.read, c.written = time.Time{}, 0, 0
-	if c.early {
-		c.begunAt, c.read, c.early = time.Now(), 1, false
-	}
 	c.answers++
 }
 
--- a/crlconn/tracker.go
+++ b/crlconn/tracker.go
@@ -55,8 +55,8 @@
 	return c.stats(), true
 }
 
-// New returns a Tracker of the connections of a server. It sets the server's ConnState and ConnContext. The server must serve on
-// a listener that the Tracker's Listener method returned.
+// New returns a Tracker of the connections of a server. It sets the server's ConnState and ConnContext and wraps its Handler. The
+// server must serve on a listener that the Tracker's Listener method returned.
 func New(config Config, server *http.Server) *Tracker {
 	t := &Tracker{config: config, open: make(map[*conn]struct{})}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
@@ -64,10 +64,22 @@
 			tracked.recordAnswer()
 		}
 	}
+	server.Handler = trackHandler(server.Handler)
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) }
 	return t
 }
 
+// trackHandler returns a handler that tells its request's connection while it runs.
+func trackHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(contextKey{}).(*conn); ok {
+			c.setServing(true)
+			defer c.setServing(false)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Listener returns a listener whose connections are tracked.
 func (t *Tracker) Listener(l net.Listener) net.Listener { return &listener{Listener: l, tracker: t} }
 
--- a/crlconn/tracker_test.go
+++ b/crlconn/tracker_test.go
@@ -25,7 +25,7 @@
 }
 
 // serve runs a test against a server whose connections are tracked, and returns what the tracker reported.
-func serve(t *testing.T, handler http.HandlerFunc, test func(t *testing.T, l *crlfake.Listener)) (reported []Closed) {
+func serve(t *testing.T, handler http.HandlerFunc, test func(t *testing.T, tracker *Tracker, l *crlfake.Listener)) (reported []Closed) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		server := &http.Server{Handler: handler}
@@ -33,7 +33,7 @@
 		l := crlfake.NewListener()
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(tracker.Listener(l)) }()
-		test(t, l)
+		test(t, tracker, l)
 		if err := server.Close(); err != nil {
 			t.Errorf("close the server: %v", err)
 		}
@@ -63,7 +63,7 @@
 // TestConnectionClosedBeforeItsAnswerIsReported checks that a request which net/http drops without calling the handler leaves a
 // trace, as no handler can log it.
 func TestConnectionClosedBeforeItsAnswerIsReported(t *testing.T) {
-	reported := serve(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, l *crlfake.Listener) {
+	reported := serve(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, _ *Tracker, l *crlfake.Listener) {
 		caller := dial(t, l)
 		exchange(t, caller)
 		time.Sleep(time.Second)
@@ -85,7 +85,7 @@
 	reported := serve(t, func(_ http.ResponseWriter, r *http.Request) {
 		time.Sleep(time.Second)
 		stats, _ = StatsOf(r.Context())
-	}, func(t *testing.T, l *crlfake.Listener) {
+	}, func(t *testing.T, _ *Tracker, l *crlfake.Listener) {
 		kept := dial(t, l)
 		exchange(t, kept)
 		exchange(t, kept)
@@ -228,7 +228,7 @@
 	for !hasUnread(c.Conn) {
 		time.Sleep(time.Millisecond)
 	}
-	if c.closeIfQuiet(true) {
+	if c.closeOrResume() {
 		t.Fatal("a connection with an unread request was closed")
 	}
 	p := make([]byte, 8)
@@ -236,7 +236,29 @@
 		t.Errorf("read %q, error %v, want the request", p[:n], err)
 	}
 	c.recordAnswer()
-	if !c.closeIfQuiet(true) {
+	if !c.closeOrResume() {
 		t.Error("a connection without a request was not closed")
 	}
 }
+
+// TestPipelinedRequestIsAnswered guards against a connection that counts as quiet while a handler serves a request that was read
+// together with the one before it.
+func TestPipelinedRequestIsAnswered(t *testing.T) {
+	serve(t, func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }, func(t *testing.T, tracker *Tracker, l *crlfake.Listener) {
+		caller := dial(t, l)
+		const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		if _, err := io.WriteString(caller, request+request); err != nil {
+			t.Fatal(err)
+		}
+		answers := bufio.NewReader(caller)
+		for n := range 2 {
+			response, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				t.Fatalf("read answer %d: %v", n+1, err)
+			}
+			_ = response.Body.Close()
+			time.Sleep(500 * time.Millisecond) // The handler of the second request runs.
+			tracker.CloseIdle()
+		}
+	})
+}
