Keep due timers off the shared race context of a synctest bubble

The crash moved to other tests when two of them were passed over.

Outside a bubble, unlockAndRun runs a timer under the race context of its own P. In a bubble it uses bubble.timers.raceCtx, of which there is one. Three callers reach it: the bubble's root goroutine (timers.check); maybeRunChan, on any goroutine that looks at a timer channel that is due and not in the heap; and modify, on any goroutine that calls AfterFunc or Reset with no time to wait. ts.mu is unlocked while the timer's function runs, and maybeRunChan and modify don't take it, so two threads push to and pop from one shadow stack. A timer that becomes due in the heap is run by the root only.

All of these timers wait in the heap, so that only the root runs them. crlentry's own sleep is gone. Where a pause and the end of ctx coincide, ctx now wins instead of a random choice.

Not changed, since no crash was traced to them: time.AfterFunc may still get no time to wait in crlforward/send.go (a resend after the objective's share has passed) and, about once in 1000 draws, in crlentry/once_test.go.

--- a/crlbill/sender.go
+++ b/crlbill/sender.go
@@ -141,7 +141,7 @@
 
 // run sends updates to peers, and a HoldRequest at least every livenessPeriod, until ctx ends.
 func (s *holdSender) run(ctx context.Context) error {
-	liveness := time.NewTicker(livenessPeriod)
+	liveness := crlclock.NewTicker(livenessPeriod)
 	defer liveness.Stop()
 	for {
 		select {
--- a/crlclock/clock.go
+++ b/crlclock/clock.go
@@ -46,10 +46,7 @@
 	if d <= 0 {
 		return
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
 }
--- a/crlclock/doc.go
+++ b/crlclock/doc.go
@@ -5,5 +5,10 @@
 // measured with BootTime, the operating system's boot-time clock. Code receives its clock as a Clock, so that tests can
 // replace it.
 //
-// The package has no state that changes; all its functions are safe for concurrent use.
+// Sleep, Ticker and context.WithTimeout also replace the channels of time.Timer and time.Ticker in code that tests run with
+// testing/synctest. There, Go 1.26 runs a timer that is due on the goroutine that looks at its channel, or that calls
+// time.AfterFunc with no time to wait, but under one race context for the whole bubble. Two threads that use it at once crash
+// the race detector.
+//
+// All functions of the package are safe for concurrent use.
 package crlclock
--- a/crldaemon/freshness.go
+++ b/crldaemon/freshness.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrylock/cranberrylock/crladmin"
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlconfig"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
@@ -41,7 +42,7 @@
 // limit / pollAgeDivisor. It runs until ctx ends.
 func (d *Daemon) runPeerPolls(ctx context.Context) error {
 	limit := d.config.Settings.Limits.Freshness
-	ticker := time.NewTicker(limit / checkIntervalDivisor)
+	ticker := crlclock.NewTicker(limit / checkIntervalDivisor)
 	defer ticker.Stop()
 	for {
 		select {
--- a/crldaemon/policy.go
+++ b/crldaemon/policy.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crlbalance"
 	"github.com/cranberrylock/cranberrylock/crlcascade"
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlconfig"
 	"github.com/cranberrylock/cranberrylock/crlentry"
 	"github.com/cranberrylock/cranberrylock/crlhealth"
@@ -170,7 +171,7 @@
 // runExchange sends totals to peers until ctx ends: every routineSendInterval, and soon after requestUrgentSend, but never
 // twice within minSendInterval.
 func (d *Daemon) runExchange(ctx context.Context) error {
-	routine := time.NewTicker(routineSendInterval)
+	routine := crlclock.NewTicker(routineSendInterval)
 	defer routine.Stop()
 	for {
 		urgent := false
@@ -184,9 +185,7 @@
 		if err := d.sendHealth(ctx, urgent); err != nil {
 			return err
 		}
-		select {
-		case <-time.After(minSendInterval):
-		case <-ctx.Done():
+		if crlclock.Sleep(ctx, minSendInterval); ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
--- a/crlentry/dispatch.go
+++ b/crlentry/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberrylock/cranberrylock/crlbalance"
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlconfig"
 	"github.com/cranberrylock/cranberrylock/crlengine"
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -124,12 +125,10 @@
 	if !x.call.Deadline.IsZero() && time.Now().After(x.call.Deadline) {
 		return refuse(CodeDeadlineExceeded, "no backend server had free capacity before the deadline")
 	}
-	select {
-	case <-time.After(s.config.Limits.PermitRetry):
-		return nil
-	case <-ctx.Done():
+	if crlclock.Sleep(ctx, s.config.Limits.PermitRetry); ctx.Err() != nil {
 		return refuse(CodeDeadlineExceeded, "the caller disconnected or its deadline passed before a backend server had free capacity")
 	}
+	return nil
 }
 
 // sendIfAllowed sends one attempt under a permit if the newest configuration still allows it, else returns the permit
@@ -187,7 +186,7 @@
 func (s *Service) cancelWhenOutOfService(ctx context.Context, cancelSend context.CancelCauseFunc, server crlid.Server) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
-		ticker := time.NewTicker(inServiceCheckPeriod)
+		ticker := crlclock.NewTicker(inServiceCheckPeriod)
 		defer ticker.Stop()
 		for {
 			select {
--- a/crlentry/escalate_test.go
+++ b/crlentry/escalate_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crlbalance"
 	"github.com/cranberrylock/cranberrylock/crlcascade"
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlconfig"
 	"github.com/cranberrylock/cranberrylock/crlengine"
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -44,12 +45,10 @@
 func (h *cascadeHarness) Done(crlpermit.Report)             {}
 
 func (h *cascadeHarness) Rate(ctx context.Context, _ crlplatform.RatingRequest) (crlid.Quality, error) {
-	select {
-	case <-time.After(h.delay):
-		return h.rating, nil
-	case <-ctx.Done():
+	if crlclock.Sleep(ctx, h.delay); ctx.Err() != nil {
 		return 0, ctx.Err()
 	}
+	return h.rating, nil
 }
 
 func (h *cascadeHarness) Call(context.Context, crlengine.ServiceAttempt) (crlengine.ServiceAnswer, error) {
--- a/crlentry/resume.go
+++ b/crlentry/resume.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlconfig"
 	"github.com/cranberrylock/cranberrylock/crlengine"
 	"github.com/cranberrylock/cranberrylock/crlpermit"
@@ -40,8 +41,10 @@
 	x.mayHaveRun = true
 	delay := resumeRetryDelay
 	for i := range s.config.Limits.Attempts {
-		if i > 0 && !sleep(ctx, delay<<(i-1)) {
-			break
+		if i > 0 {
+			if crlclock.Sleep(ctx, delay<<(i-1)); ctx.Err() != nil {
+				break
+			}
 		}
 		permit, refusal := s.acquireAt(ctx, x, server)
 		if refusal != nil {
@@ -92,13 +95,3 @@
 	var sink *sinkError
 	return ctx.Err() != nil || errors.As(failure, &sink)
 }
-
-// sleep waits for the duration and reports whether it elapsed before ctx was done.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-time.After(duration):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/crlfake/engine.go
+++ b/crlfake/engine.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlengine"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
@@ -197,14 +198,9 @@
 	e.mu.Lock()
 	slowdown := load.slowdown(stream.priority, time.Now())
 	e.mu.Unlock()
-	timer := time.NewTimer(time.Duration(float64(step) * slowdown))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.Request().Context().Done():
-		return false
-	}
+	ctx := c.Request().Context()
+	crlclock.Sleep(ctx, time.Duration(float64(step)*slowdown))
+	return ctx.Err() == nil
 }
 
 // prefill caches the stream's prompt and returns the time to process the part of it that was not cached.
--- a/crlfake/flaky.go
+++ b/crlfake/flaky.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
 )
@@ -46,9 +47,7 @@
 // tell them apart.
 func (f *FlakyLog) Append(ctx context.Context, stream crlid.Stream, payload []byte) (crlid.Offset, error) {
 	draw, delay, late, unreachable := f.draw()
-	select {
-	case <-time.After(delay):
-	case <-ctx.Done():
+	if crlclock.Sleep(ctx, delay); ctx.Err() != nil {
 		return crlid.NoOffset, failedAppend(ctx.Err(), true)
 	}
 	c := f.config
--- a/crlfake/log.go
+++ b/crlfake/log.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
 )
@@ -65,9 +66,7 @@
 func (l *Log) Append(ctx context.Context, stream crlid.Stream, payload []byte) (crlid.Offset, error) {
 	faults := l.currentFaults()
 	if faults.Delay > 0 {
-		select {
-		case <-time.After(faults.Delay):
-		case <-ctx.Done():
+		if crlclock.Sleep(ctx, faults.Delay); ctx.Err() != nil {
 			// A log service completes the append although its caller disconnected.
 			go l.lateAppend(stream, payload)
 			return crlid.NoOffset, failedAppend(ctx.Err(), true)
@@ -85,7 +84,8 @@
 
 // Read returns records from the requested offset on. If there are none, it waits for one for at most request.Wait.
 func (l *Log) Read(ctx context.Context, request crlplatform.ReadRequest) (crlplatform.Page, error) {
-	deadline := time.After(request.Wait)
+	deadline, cancel := context.WithTimeout(ctx, request.Wait)
+	defer cancel()
 	for {
 		page, changed, err := l.page(request)
 		if err != nil || len(page.Records) > 0 || request.Wait == 0 {
@@ -93,11 +93,12 @@
 		}
 		select {
 		case <-changed:
-		case <-deadline:
+		case <-deadline.Done():
+			if ctx.Err() != nil {
+				return crlplatform.Page{}, ctx.Err()
+			}
 			page, _, err := l.page(request)
 			return page, err
-		case <-ctx.Done():
-			return crlplatform.Page{}, ctx.Err()
 		}
 	}
 }
--- a/crlfake/network.go
+++ b/crlfake/network.go
@@ -350,8 +350,10 @@
 
 // deliver writes data to the pipe after the network's latency and once the link isn't cut.
 func (s *socket) deliver(data []byte) error {
+	arrival, cancel := context.WithTimeout(context.Background(), s.network.config.Latency)
+	defer cancel()
 	select {
-	case <-time.After(s.network.config.Latency):
+	case <-arrival.Done():
 	case <-s.closed:
 		return errReset
 	}
--- a/crlfake/rating.go
+++ b/crlfake/rating.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
 )
@@ -62,9 +63,7 @@
 // from 0 to 1. The variation is a hash of the request identifier, so that a request always gets the same rating.
 func (r *Ratings) Rate(ctx context.Context, request crlplatform.RatingRequest) (crlid.Quality, error) {
 	quality, spread, faults := r.lookup(request.Version)
-	select {
-	case <-time.After(faults.Delay):
-	case <-ctx.Done():
+	if crlclock.Sleep(ctx, faults.Delay); ctx.Err() != nil {
 		return 0, ctx.Err()
 	}
 	if faults.Outage {
--- a/crljournal/combiner.go
+++ b/crljournal/combiner.go
@@ -89,8 +89,8 @@
 	case b := <-c.batches:
 		group = append(group, b)
 	}
-	due := time.NewTimer(max(MinWindow, time.Until(lastAppend.Add(c.config.Window()))))
-	defer due.Stop()
+	due, cancel := context.WithTimeout(ctx, max(MinWindow, time.Until(lastAppend.Add(c.config.Window()))))
+	defer cancel()
 	size := group[0].bytes
 	for {
 		more := c.batches
@@ -101,10 +101,11 @@
 		case b := <-more:
 			group = append(group, b)
 			size += b.bytes
-		case <-due.C:
+		case <-due.Done():
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
 			return group, nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
 		}
 	}
 }
--- a/crljournal/writer.go
+++ b/crljournal/writer.go
@@ -207,8 +207,8 @@
 	case first = <-w.queue:
 	}
 	window := time.Duration(w.window.Load())
-	due := time.NewTimer(max(MinWindow, time.Until(lastAppend.Add(window))))
-	defer due.Stop()
+	due, cancel := context.WithTimeout(ctx, max(MinWindow, time.Until(lastAppend.Add(window))))
+	defer cancel()
 	waiting := []*pendingEntry{first}
 	size := len(first.entry.Body)
 	for len(waiting) < w.config.BatchEntries && size < maxBatchBytes/2 {
@@ -216,10 +216,11 @@
 		case p := <-w.queue:
 			waiting = append(waiting, p)
 			size += len(p.entry.Body)
-		case <-due.C:
+		case <-due.Done():
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
 			return w.startSendingAll(waiting), nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
 		}
 	}
 	return w.startSendingAll(waiting), w.awaitDue(ctx, lastAppend.Add(window))
--- a/crlmember/heartbeat.go
+++ b/crlmember/heartbeat.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
@@ -104,7 +105,7 @@
 
 // Run sends a heartbeat in each period until ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
-	ticker := time.NewTicker(g.config.Period)
+	ticker := crlclock.NewTicker(g.config.Period)
 	defer ticker.Stop()
 	for {
 		if err := g.round(ctx); err != nil {
--- a/crlmember/registrar.go
+++ b/crlmember/registrar.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crljournal"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
@@ -104,7 +105,7 @@
 
 // Run appends rosters, and during outages of the log extends the lease of the current one, until ctx ends.
 func (r *Registrar) Run(ctx context.Context) error {
-	ticker := time.NewTicker(r.config.Period)
+	ticker := crlclock.NewTicker(r.config.Period)
 	defer ticker.Stop()
 	for {
 		select {
--- a/crlpermit/serve.go
+++ b/crlpermit/serve.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
 )
@@ -124,9 +125,7 @@
 		if !c.sendReturns(ctx) {
 			pause = returnRetry
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if crlclock.Sleep(ctx, pause); ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
@@ -194,7 +193,7 @@
 
 // RunTakeovers asks the holders that this daemon's home awaits for the permits that they have in use, until ctx ends.
 func (c *Client) RunTakeovers(ctx context.Context) error {
-	ticker := time.NewTicker(takeoverPeriod)
+	ticker := crlclock.NewTicker(takeoverPeriod)
 	defer ticker.Stop()
 	for {
 		select {
--- a/crlrouter/reload.go
+++ b/crlrouter/reload.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"runtime/debug"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
 )
 
 // settingsPollInterval is the time between two reads of the settings file, which may change without a signal.
@@ -20,7 +22,7 @@
 // reload applies changed settings, on a signal or within settingsPollInterval, until ctx ends. Settings that can't be read
 // leave the current ones unchanged.
 func (r *Router) reload(ctx context.Context) error {
-	ticker := time.NewTicker(settingsPollInterval)
+	ticker := crlclock.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	current, lastError := r.config.Settings, ""
 	for {
--- a/crlrouter/store_test.go
+++ b/crlrouter/store_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
@@ -121,8 +120,8 @@
 }
 
 func (m *memoryStore) Read(ctx context.Context, topic string, read crlplatform.KeyedRead) (crlplatform.KeyedPage, error) {
-	deadline := time.NewTimer(read.Wait)
-	defer deadline.Stop()
+	deadline, cancel := context.WithTimeout(ctx, read.Wait)
+	defer cancel()
 	for {
 		m.mu.Lock()
 		m.reads++
@@ -140,10 +139,11 @@
 		}
 		select {
 		case <-changed:
-		case <-deadline.C:
+		case <-deadline.Done():
+			if ctx.Err() != nil {
+				return crlplatform.KeyedPage{}, ctx.Err()
+			}
 			return page, nil
-		case <-ctx.Done():
-			return crlplatform.KeyedPage{}, ctx.Err()
 		}
 	}
 }
