--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
@@ -85,10 +86,7 @@
 		return false
 	}
 	x.waits++
-	select {
-	case <-time.After(serverWaitInterval):
-	case <-ctx.Done():
-	}
+	crlclock.Sleep(ctx, serverWaitInterval)
 	return true
 }
 
--- a/crlforward/watchdog.go
+++ b/crlforward/watchdog.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 )
 
@@ -165,10 +166,7 @@
 	if !ok || silence >= hostSilentAfter {
 		return true
 	}
-	select {
-	case <-time.After(hostSilentAfter - silence + silenceGranularity):
-	case <-ctx.Done():
-	}
+	crlclock.Sleep(ctx, hostSilentAfter-silence+silenceGranularity)
 	silence, ok = w.silence()
 	return !ok || silence >= hostSilentAfter
 }
