End connections of the daemon that stall in the first bytes of a request

What operators would see: a graceful stop that never ends, because a caller has sent up to three bytes of a request on a kept connection and then nothing. A drain waits for such a request, and the wait for its first four bytes had no limit.

Change: the daemon's servers have an idle timeout of a minute, which bounds that wait. The drain itself has no deadline, as before.

TestStalledConnectionDoesntHoldUpAStop had not ended after two minutes of virtual time and passes now.

--- a/crldaemon/serve.go
+++ b/crldaemon/serve.go
@@ -27,7 +27,8 @@
 	peerCallTimeout       = time.Second
 	maxIdlePerServer      = 64 // idle connections kept open per backend server or host of the platform
 	readHeaderTimeout     = 10 * time.Second
-	maxConfigurationBytes = 8 << 20 // limit on the body of a request that publishes a configuration
+	idleTimeout           = time.Minute // also ends a connection that stalls in the first bytes of a request
+	maxConfigurationBytes = 8 << 20     // limit on the body of a request that publishes a configuration
 )
 
 // listeners are the listening sockets of a daemon: for callers, for operators (admin) and for other daemons (peers).
@@ -158,7 +159,7 @@
 }
 
 func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
 // logUnanswered logs that a caller's connection was closed without an answer to its request.
--- a/crldaemon/stop_test.go
+++ b/crldaemon/stop_test.go
@@ -44,3 +44,41 @@
 		}
 	})
 }
+
+// TestStalledConnectionDoesntHoldUpAStop guards against a graceful stop that never ends, because a caller has sent the first bytes of
+// a request on a kept connection and then nothing.
+func TestStalledConnectionDoesntHoldUpAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t, "../examples/register.ini", 3)
+		defer cluster.close()
+		cluster.applyFirstConfiguration()
+		d := cluster.daemons[0]
+		connection, err := cluster.network.Dialer("caller")(context.Background(), "tcp", d.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+		if _, err := io.WriteString(connection, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if _, err := io.WriteString(connection, "GE"); err != nil {
+			t.Fatal(err)
+		}
+		d.stop()
+		bound, cancel := context.WithTimeout(t.Context(), 2*idleTimeout)
+		defer cancel()
+		select {
+		case err := <-d.ended:
+			if err != nil {
+				t.Errorf("the daemon ended with %v", err)
+			}
+		case <-bound.Done():
+			t.Errorf("the daemon has not ended %s after the stop signal", 2*idleTimeout)
+		}
+	})
+}
