Let a started stream outlast a congested link of its own VM

What callers would see: a stream that broke off is cut off after three or four dials that got no reply, though its servers are sound and only this VM's link is congested.

Cause: each failed dial took its server off the list of candidates and used up a send, and its time-out of 0.3 s is below the round trip on a saturated link.

Change: for a started stream a failed dial costs no send, its server stays a candidate, and each one doubles the time-out, up to 1.2 s. Five failed dials (4.5 s) end the stream. Requests of which the caller has nothing go on as before.

Evidence: found in review.

--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -109,14 +109,16 @@
 	return nil
 }
 
-// startedSendsFactor bounds the sends of a started stream, as a multiple of its route's attempts.
-const startedSendsFactor = 2
+const (
+	startedSendsFactor = 2 // bounds the sends of a started stream that reach a server, as a multiple of its route's attempts
+	maxFailedDials     = 5 // failed dials after which a started stream is cut off; with growing time-outs they take 4.5 s
+)
 
 // hasAttempts reports whether the route allows one more send. Once the caller has part of a stream, only sends that a server may
 // have run use up the route's attempts: the caller of a stream that is cut off can't be told that nothing ran.
 func (x *exchange) hasAttempts() bool {
 	if x.stream.started {
-		return x.runs < x.route.Attempts && x.sends < startedSendsFactor*x.route.Attempts
+		return x.runs < x.route.Attempts && x.sends < startedSendsFactor*x.route.Attempts && x.failedDials < maxFailedDials
 	}
 	return x.sends < x.route.Attempts
 }
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -122,6 +122,7 @@
 	if x.route.Repeatable() {
 		wd = s.probes.newWatchdog(ctx, cancel, pick.Address)
 	}
+	ctx = withDialTimeout(ctx, x.dialTimeout())
 	var hasConnection atomic.Bool
 	request := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -143,6 +144,12 @@
 	return response, connected, err
 }
 
+// dialTimeout returns the longest time for opening the connection of the next send. A request of which the caller has nothing goes
+// to another server soon. A started stream has fewer choices, so it allows more time with each failed dial.
+func (x *exchange) dialTimeout() time.Duration {
+	return min(dialTimeout<<x.failedDials, maxDialTimeout)
+}
+
 // newRequest returns the request to a backend server, with the body, path and query of the caller's.
 func (s *Service) newRequest(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) *http.Request {
 	header := x.request.Header.Clone()
@@ -200,6 +207,12 @@
 	}
 	if !connected {
 		result.Outcome = dialOutcome(err)
+		if x.stream.started {
+			// The dial may have failed because of this VM's own link, so the server stays a candidate.
+			delete(x.tried, pick.Server)
+			x.sends--
+			x.failedDials++
+		}
 		return verdictAgain
 	}
 	result.Outcome = failureOutcome(ctx)
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -118,6 +118,7 @@
 	lastVersion   crlid.Version         // version that the session's previous request ran on
 	sends         int                   // sends so far
 	waits         int                   // times that it waited for a server or the retry budget
+	failedDials   int                   // sends of the started stream that opened no connection; not counted in sends
 	reached       bool                  // whether a server may have received the request
 	retryPaid     bool                  // whether the retry budget was charged for the next send
 	runs          int                   // sends after which a server may have started to execute the request
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -679,6 +679,27 @@
 	}
 }
 
+// unreachableAfterTheTimeout is a step whose dial gets no reply.
+func unreachableAfterTheTimeout(r *http.Request) (*http.Response, error) {
+	time.Sleep(r.Context().Value(dialTimeoutKey{}).(time.Duration))
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+}
+
+// TestStartedStreamSurvivesACongestedLink guards against a started stream being cut off because, for a second or two, this VM's own
+// link lets no dial come about in time: the servers stay candidates.
+func TestStartedStreamSurvivesACongestedLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const failedDials = 4 // as many as the service has servers, and more than the route has attempts
+		c := newCluster(slices.Concat(
+			[]step{breaksAfter(events(1, 2))}, slices.Repeat([]step{unreachableAfterTheTimeout}, failedDials), []step{answers(events(3, 4))},
+		)...)
+		got, aborted := c.call(t.Context(), "/draft/1", nil)
+		if aborted || got.Body.String() != events(1, 4) {
+			t.Errorf("got %q (aborted %v) after %d sends, want %q", got.Body, aborted, len(c.backend.sent), events(1, 4))
+		}
+	})
+}
+
 // TestStartedStreamWaitsForAServer guards against a started stream being cut off because for a moment no server of the service may
 // go on with it, as when servers of one version leave before those of another are known, or the retry budget is used up.
 func TestStartedStreamWaitsForAServer(t *testing.T) {
--- a/crlforward/transport.go
+++ b/crlforward/transport.go
@@ -1,6 +1,7 @@
 package crlforward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -10,7 +11,8 @@
 	// dialTimeout is many times the round trip between failure domains. An unreachable server does not refuse a connection
 	// but never answers, so a send would otherwise wait for the timeout of TCP.
 	dialTimeout       = 300 * time.Millisecond
-	keepAliveInterval = time.Second // idle time before the first TCP keep-alive probe, and time between probes
+	maxDialTimeout    = 1200 * time.Millisecond // longer than the round trip on a saturated link of this VM, with queues of 0.5 s
+	keepAliveInterval = time.Second             // idle time before the first TCP keep-alive probe, and time between probes
 	// keepAliveProbes is the number of unanswered probes in a row after which a connection is closed. A saturated link of this VM
 	// delays or loses a few; the watchdog ends what may be sent again long before.
 	keepAliveProbes       = 5
@@ -26,11 +28,27 @@
 // but does not read on.
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		timeout, ok := ctx.Value(dialTimeoutKey{}).(time.Duration)
+		if !ok {
+			timeout = dialTimeout
+		}
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dialer.DialContext(ctx, network, address)
+	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
 		WriteBufferSize: connectionBufferBytes, ReadBufferSize: connectionBufferBytes,
 	}
 }
+
+// dialTimeoutKey is the key of a send's dial time-out in its context.
+type dialTimeoutKey struct{}
+
+// withDialTimeout returns a context for a send on a transport of NewTransport, whose dial takes at most timeout.
+func withDialTimeout(ctx context.Context, timeout time.Duration) context.Context {
+	return context.WithValue(ctx, dialTimeoutKey{}, timeout)
+}
--- a/crlforward/transport_test.go
+++ b/crlforward/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -48,6 +49,19 @@
 	}
 }
 
+// listenForFilters listens on loopback until the test ends. Linux takes no filter on a listener with multipath TCP.
+func listenForFilters(t *testing.T) *net.TCPListener {
+	t.Helper()
+	config := net.ListenConfig{}
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.(*net.TCPListener)
+}
+
 // dropPackets makes the kernel drop all packets that arrive for a connection or listener, as if they were lost on the way.
 func dropPackets(t *testing.T, connection syscall.Conn) {
 	t.Helper()
@@ -149,3 +163,29 @@
 		t.Errorf("answer ended with %v after %s, want a time-out within %s", err, took, bound)
 	}
 }
+
+// TestDialTimeoutOfASend guards against a transport that ignores the dial time-out of a send, or sets none without one.
+func TestDialTimeoutOfASend(t *testing.T) {
+	t.Parallel()
+	listener := listenForFilters(t)
+	dropPackets(t, listener)
+	for _, ctx := range []context.Context{t.Context(), withDialTimeout(t.Context(), 2*dialTimeout)} {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+listener.Addr().String()+"/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := dialTimeout
+		if timeout, ok := ctx.Value(dialTimeoutKey{}).(time.Duration); ok {
+			want = timeout
+		}
+		start := time.Now()
+		response, err := NewTransport().RoundTrip(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		var netErr net.Error
+		if took := time.Since(start); !errors.As(err, &netErr) || !netErr.Timeout() || took < want {
+			t.Errorf("dial without a reply: got error %v after %s, want a time-out of %s", err, took, want)
+		}
+	}
+}
--- a/crlforward/watchdog_test.go
+++ b/crlforward/watchdog_test.go
@@ -23,13 +23,7 @@
 // sends two events of a stream, calls during, sends two more and ends the answer.
 func newLoopbackCluster(t *testing.T, during func(listener *net.TCPListener, connection *net.TCPConn)) *cluster {
 	t.Helper()
-	config := net.ListenConfig{}
-	config.SetMultipathTCP(false) // Linux takes no filter on a listener with multipath TCP.
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := listenForFilters(t)
 	go func() {
 		connection, err := listener.Accept()
 		if err != nil {
@@ -42,7 +36,7 @@
 			return
 		}
 		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nX-Signed: yes\r\nX-Request: "+request.Header.Get("X-Request")+"\r\n\r\n"+events(1, 2))
-		during(listener.(*net.TCPListener), connection.(*net.TCPConn))
+		during(listener, connection.(*net.TCPConn))
 		_, _ = io.WriteString(connection, events(3, 4))
 	}()
 	c := newCluster()
