--- a/crlforward/watchdog.go
+++ b/crlforward/watchdog.go
@@ -113,13 +113,13 @@
 	close(probe.done)
 }
 
-// watchdog cancels a send when a read of its answer has waited for unresponsiveAfter, the server's host does not reply to probes, and no packet
-// has come on the send's own connection for hostSilentAfter. A server whose host replies may only be slow or full, so the send
-// continues.
+// watchdog cancels a send when a read of its answer has waited for unresponsiveAfter, the server's host does not reply to probes, and
+// no packet has come on the send's own connection for hostSilentAfter. A server whose host replies may only be slow or full, so the
+// send continues.
 type watchdog struct {
 	timer       *time.Timer
 	readSilence silenceFunc
-	phase       atomic.Int64                 // odd while a read waits for bytes; begins with the wait for the head of the answer
+	phase       atomic.Int64                 // number of waits that have begun and ended, so odd while a read or the head is awaited
 	connection  atomic.Pointer[syscall.Conn] // the send's connection; nil until it is opened, and if it can't be examined
 }
 
