End a drain that only refuses requests after a second

Cause: where most routers of a failure domain stop at once, the load balancer has no other one and goes on sending requests to them, so that some always arrive and each drain takes the whole grace time.

Change: a router stays at most one second only to refuse; then it closes quiet connections, ends and is started again. That second covers the half second for which a request is under way on a saturated link.

--- a/crlrouter/callers.go
+++ b/crlrouter/callers.go
@@ -24,7 +24,10 @@
 	shutdownMargin      = 400 * time.Millisecond // reserved at the end of the grace time for the process to exit
 	abortDuration       = 300 * time.Millisecond // reserved before shutdownMargin for answering the requests that are aborted
 	transitTime         = 500 * time.Millisecond // longest time that a request is under way to the router on a saturated link
-	drainPollInterval   = 20 * time.Millisecond
+	// maxRefuseDuration bounds the time after drainAcceptDuration in which a router stays only to refuse requests. Longer, callers
+	// are better off if it restarts.
+	maxRefuseDuration = time.Second
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // callerServer serves callers' requests.
@@ -71,8 +74,8 @@
 var errDrained = errors.New("drained")
 
 // drain waits for the end of ctx. It then goes on accepting requests for drainAcceptDuration, until the load balancer has
-// noticed the failed readiness probes. From then on it refuses further ones, until none has arrived for transitTime and the open ones
-// are complete. Requests that are still open near the end of the grace time are aborted, which answers those that got nothing of an
+// noticed the failed readiness probes. From then on it refuses further ones until the open ones are complete, and until none has
+// arrived for transitTime or maxRefuseDuration has passed. Requests that are still open near the end of the grace time are aborted, which answers those that got nothing of an
 // answer yet.
 func (s *callerServer) drain(ctx context.Context) error {
 	r := s.router
@@ -87,7 +90,10 @@
 	time.Sleep(drainAcceptDuration)
 	r.service.Close()
 	abortAt := start.Add(r.config.Settings.Bounds.Grace - shutdownMargin - abortDuration)
-	for time.Now().Before(abortAt) && (r.service.OpenRequests() > 0 || time.Since(r.service.LastArrival()) < transitTime) {
+	stillArriving := func() bool {
+		return time.Since(start) < drainAcceptDuration+maxRefuseDuration && time.Since(r.service.LastArrival()) < transitTime
+	}
+	for time.Now().Before(abortAt) && (r.service.OpenRequests() > 0 || stillArriving()) {
 		time.Sleep(drainPollInterval)
 	}
 	s.closing.Store(true)
--- a/crlrouter/callers_test.go
+++ b/crlrouter/callers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"testing"
 	"testing/synctest"
@@ -188,6 +189,32 @@
 	})
 }
 
+// TestDrainEndsWhileRequestsStillArrive guards against a router that stays for its whole grace time only to refuse requests, when
+// the load balancer has no other router to send them to.
+func TestDrainEndsWhileRequestsStillArrive(t *testing.T) {
+	testDrain(t, func(t *testing.T, r *drainingRouter) {
+		start := time.Now()
+		r.signal()
+		stopped := false
+		for !stopped && time.Since(start) < 8*time.Second {
+			select {
+			case err := <-r.stopped:
+				stopped = true
+				if !errors.Is(err, errDrained) {
+					t.Errorf("drain: got error %v, want %v", err, errDrained)
+				}
+				continue
+			default:
+			}
+			r.service.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://other/none", nil))
+			time.Sleep(100 * time.Millisecond)
+		}
+		if took := time.Since(start); took > drainAcceptDuration+maxRefuseDuration+time.Second {
+			t.Errorf("a drain without open requests took %s", took)
+		}
+	})
+}
+
 // TestRequestThatArrivesAtTheEndOfADrainIsAnswered guards against a drain whose last part drops requests that are still arriving.
 func TestRequestThatArrivesAtTheEndOfADrainIsAnswered(t *testing.T) {
 	testDrain(t, func(t *testing.T, r *drainingRouter) {
