--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -1,6 +1,7 @@
 package crlfleet
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"slices"
@@ -24,6 +25,7 @@
 	Service           crlid.Service
 	Allows            func(crlid.Version) bool // reports whether the request may run on a version
 	Prefers           func(crlid.Version) bool // reports whether the request should run on an allowed version
+	FewServers        map[crlid.Version]int    // for some versions, the number of servers that should share the version's requests
 	Work              float64                  // time that an unloaded server works until its answer begins, in seconds
 	WorkAfter         float64                  // time by which the rest of the answer delays the server's other requests, in seconds
 	Affinity          Affinity
@@ -89,6 +91,18 @@
 	return nil, ErrNoServer
 }
 
+// Rank returns the number of servers of the same service and version whose IDs come before that of the picked server.
+func (p *Pick) Rank() (rank int) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	for _, other := range p.fleet.services[p.server.entry.Service] {
+		if other.entry.Version == p.server.entry.Version && other.entry.Server < p.server.entry.Server {
+			rank++
+		}
+	}
+	return rank
+}
+
 // best returns the candidate with the lowest score that is not cold or has a token left, or nil. preferred limits the
 // candidates to preferred versions, and available to servers outside a backoff time and newVersionDelay.
 func (f *Fleet) best(need Need, preferred, available bool, now crlclock.Instant) *server {
@@ -100,6 +114,9 @@
 		}
 		candidates = append(candidates, s)
 	}
+	if available {
+		candidates = fewest(candidates, need.FewServers)
+	}
 	holder := need.Affinity.holder(candidates)
 	for len(candidates) > 0 {
 		best, lowest := 0, math.Inf(1)
@@ -120,6 +137,21 @@
 	return nil
 }
 
+// fewest returns the candidates without those beyond the given number of servers of their version, by the order of their IDs, which is
+// the same at all daemons.
+func fewest(candidates []*server, limits map[crlid.Version]int) []*server {
+	if len(limits) == 0 {
+		return candidates
+	}
+	slices.SortFunc(candidates, func(a, b *server) int { return cmp.Compare(a.entry.Server, b.entry.Server) })
+	count := make(map[crlid.Version]int, len(limits))
+	return slices.DeleteFunc(candidates, func(s *server) bool {
+		limit, ok := limits[s.entry.Version]
+		count[s.entry.Version]++
+		return ok && count[s.entry.Version] > limit
+	})
+}
+
 // holder returns the candidate that is assumed to have the prompt's part cached. It is chosen by rendezvous hashing, so that
 // all daemons agree without exchanging messages: the highest hash of key and server wins.
 func (a Affinity) holder(candidates []*server) *server {
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -160,12 +160,18 @@
 	if x.sends == 0 {
 		x.lastVersion = s.sessions.version(key)
 	}
-	onTarget := x.rolloutPlan.Prefers(xxhash.Sum64String(string(key.session)), x.lastVersion)
+	// In the last step, requests that must not run twice avoid the versions that are about to be stopped.
+	onTarget := x.rolloutPlan.Prefers(xxhash.Sum64String(string(key.session)), x.lastVersion) ||
+		x.rolloutPlan.LastStep && !x.route.Repeatable()
 	pinned := x.rolloutPlan.PinSessions && x.lastVersion != ""
 	factor := s.timeFactors.factor(plan.model(), plan.models)
 	cost := x.estimate(factor)
+	var few map[crlid.Version]int
+	if x.rolloutPlan.TargetServers > 0 {
+		few = map[crlid.Version]int{x.rolloutPlan.Target: x.rolloutPlan.TargetServers}
+	}
 	return s.config.Fleet.Pick(crlfleet.Need{
-		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried,
+		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, FewServers: few,
 		Work: cost.workSeconds, WorkAfter: cost.decodeSeconds, ExpectedFirstByte: cost.firstByte, Affinity: x.affinity(factor),
 		Allows: func(v crlid.Version) bool {
 			return x.rolloutPlan.Allows(v) && (!pinned || v == x.lastVersion || v != x.rolloutPlan.Target)
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -25,7 +25,7 @@
 // relayStream copies the events of a stream to the caller as they arrive. In a stream that continues another server's,
 // events that the caller has are skipped, and an event number other than the next one ends the send.
 func (s *Service) relayStream(
-	ctx context.Context, x *exchange, response *http.Response, head AnswerHead, plan *modelPlan,
+	ctx context.Context, x *exchange, response *http.Response, head AnswerHead, plan *modelPlan, comparison *comparison,
 ) (verdict, crlfleet.Outcome) {
 	if !head.Signed {
 		x.trace.cause = "backend server's success answer has no signature"
@@ -37,6 +37,7 @@
 		return verdictEscalate, crlfleet.OutcomeAnswered
 	}
 	events := bufio.NewReader(response.Body)
+	defer comparison.recordPace()
 	fresh := !x.stream.started // no earlier send has given the caller part of the answer
 	controller := http.NewResponseController(x.writer)
 	for {
@@ -44,6 +45,7 @@
 		if err != nil && !errors.Is(err, io.EOF) {
 			return s.handleBrokenStream(ctx, x, err)
 		}
+		comparison.countEvent()
 		id, numbered := eventID(event)
 		if numbered && id <= x.stream.lastEvent {
 			if err != nil {
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -14,7 +14,6 @@
 
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
-	"github.com/cranberrylock/cranberrylock/crlrollout"
 	"github.com/cranberrylock/cranberrylock/crlroute"
 )
 
@@ -96,6 +95,8 @@
 	}
 	x.runs++
 	pick.RecordFirstByte(result.FirstByte)
+	comparison := s.newComparison(x, pick, plan, start)
+	comparison.recordFirstByte(result.FirstByte)
 	s.sessions.record(x.sessionKey(), pick.Version)
 	if head.Request != x.head.Request {
 		result.Outcome = crlfleet.OutcomeFailed
@@ -103,12 +104,12 @@
 	}
 	var v verdict
 	if response.StatusCode < http.StatusMultipleChoices && x.route.Kind == crlroute.KindStream {
-		v, result.Outcome = s.relayStream(ctx, x, response, head, plan)
+		v, result.Outcome = s.relayStream(ctx, x, response, head, plan, comparison)
 	} else {
 		v, result.Outcome = s.relayPlain(ctx, x, response, head)
 	}
 	s.timeFactors.observe(plan.model(), x.head.PromptTokens, result.FirstByte)
-	s.reportToRollouts(x, pick, result)
+	comparison.recordOutcome(result)
 	return v
 }
 
@@ -202,7 +203,11 @@
 		pick.RecordFirstByte(waited) // The time waited so far is a lower bound of the server's waiting time.
 		x.runs++
 	}
+	comparison := s.newComparison(x, pick, plan, time.Now().Add(-waited))
 	if endedLocally(ctx) {
+		if connected {
+			comparison.recordWait(waited)
+		}
 		return verdictFinal
 	}
 	if !connected {
@@ -216,7 +221,7 @@
 		return verdictAgain
 	}
 	result.Outcome = failureOutcome(ctx)
-	s.reportToRollouts(x, pick, *result)
+	comparison.recordOutcome(*result)
 	return s.retryVerdict(x)
 }
 
@@ -288,21 +293,6 @@
 	return verdictAnswered, crlfleet.OutcomeAnswered
 }
 
-// slowFactor is the multiple of a server's expected time to first byte (plus one second) above which an answer counts as bad
-// in a roll-out.
-const slowFactor = 5
-
-// reportToRollouts reports the result of a send to the roll-out of the service, if there is one.
-func (s *Service) reportToRollouts(x *exchange, pick *crlfleet.Pick, result crlfleet.Result) {
-	if x.rolloutPlan.Target == "" || result.Outcome == crlfleet.OutcomeNeutral {
-		return
-	}
-	bad := result.Outcome != crlfleet.OutcomeAnswered || result.FirstByte > slowFactor*pick.ExpectedFirstByte+time.Second
-	if s.config.Rollouts.Observe(crlrollout.Observation{Service: x.service.Name, Version: pick.Version, Bad: bad}) {
-		s.logVersionMarkedBad(x, pick)
-	}
-}
-
 // shouldEscalate reports whether an answer of low confidence is to be replaced by the largest model's: the request may be
 // repeated, the larger model is expected to start within the latency objective, and the retry budget allows it.
 func (s *Service) shouldEscalate(x *exchange, head AnswerHead, plan *modelPlan) bool {
--- a/crlrelay/doc.go
+++ b/crlrelay/doc.go
@@ -11,6 +11,8 @@
 // [Follower.ShouldReadStore] tells the daemon to read the store itself until a source is fresh again. Clocks of daemons
 // are never compared: messages carry ages, rounded so that a confirmation never looks newer than it is.
 //
+// An [Exchange] adds messages of another package to these calls.
+//
 // A Replica, a Server and the exported methods of a Follower may be used by several goroutines; one goroutine calls
 // [Follower.Run].
 package crlrelay
--- /dev/null
+++ b/crlrelay/exchange_test.go
@@ -0,0 +1,121 @@
+package crlrelay
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+)
+
+// recordedExchange records what is exchanged. Its message says whether it is the first to a source.
+type recordedExchange struct {
+	mu       sync.Mutex
+	received []string // messages of followers
+	learned  []string // replies of sources
+}
+
+func (e *recordedExchange) Request(isNew bool) json.RawMessage {
+	if isNew {
+		return json.RawMessage(`"all"`)
+	}
+	return json.RawMessage(`"more"`)
+}
+
+func (e *recordedExchange) Reply(request json.RawMessage) json.RawMessage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.received = append(e.received, string(request))
+	return request
+}
+
+func (*recordedExchange) Pending() bool { return true }
+
+func (e *recordedExchange) Learn(reply json.RawMessage) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.learned = append(e.learned, string(reply))
+}
+
+func (e *recordedExchange) firstReceived() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.received) == 0 {
+		return ""
+	}
+	return e.received[0]
+}
+
+// newExchangingDaemon returns a loaded daemon that is confirmed until ctx ends, with its exchange.
+func newExchangingDaemon(ctx context.Context, id string, now crlclock.Clock) (*testDaemon, *recordedExchange) {
+	d, exchange := newDaemon("", now), &recordedExchange{}
+	d.server = NewServer(ServerConfig{
+		Self: crlid.Incarnation(id), Replicas: map[Topic]*Replica{testTopic: d.replica}, Roster: func() Roster { return d.roster }, Now: now,
+		Exchange: exchange,
+	})
+	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
+	go confirmPeriodically(ctx, d)
+	return d, exchange
+}
+
+// TestRestartedSourceGetsTheFirstMessage guards against messages that only continue what the source knew before its restart.
+func TestRestartedSourceGetsTheFirstMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		now := crlclock.NewMonotonic()
+		source, _ := newExchangingDaemon(ctx, "a1", now)
+		n := newNetwork(map[string]*testDaemon{"a": source})
+		follower := newDaemon("b", now)
+		f := newFollower(follower, n, "b", "a", "b")
+		own := &recordedExchange{}
+		f.config.Exchange = own
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		restarted, exchange := newExchangingDaemon(ctx, "a2", now)
+		n.put("a", restarted)
+		time.Sleep(3 * time.Second)
+		exchange.mu.Lock()
+		firsts := 0
+		for _, message := range exchange.received {
+			if message == `"all"` {
+				firsts++
+			}
+		}
+		exchange.mu.Unlock()
+		if firsts != 1 {
+			t.Errorf("a source that restarted got the first message %d times, want once", firsts)
+		}
+		own.mu.Lock()
+		if len(own.learned) == 0 {
+			t.Error("the follower learned no reply")
+		}
+		own.mu.Unlock()
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// TestSecondReaderExchangesWithTheFirst guards against messages that stay divided between two readers, which follow nobody.
+func TestSecondReaderExchangesWithTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		now := crlclock.NewMonotonic()
+		first, exchange := newExchangingDaemon(ctx, "a1", now)
+		second, _ := newExchangingDaemon(ctx, "b1", now)
+		n := newNetwork(map[string]*testDaemon{"a": first, "b": second})
+		f := newFollower(second, n, "b", "a", "b")
+		f.config.Exchange = &recordedExchange{}
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		if got := exchange.firstReceived(); got != `"all"` {
+			t.Errorf("the first reader received %q from the second, want a first message", got)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -50,6 +50,7 @@
 	Log          *crllog.Logger
 	StoreFailing func() bool             // whether this daemon's own reads of the store fail
 	MaxAge       map[Topic]time.Duration // greatest age of each topic's confirmation; if it is older, the follower tries another source
+	Exchange     Exchange                // nil for none
 }
 
 // Follower keeps this daemon's replicas up to date from those of another daemon, the source.
@@ -62,13 +63,18 @@
 	source      Member
 	cursors     map[Topic]Cursor
 	incarnation crlid.Incarnation // incarnation of the source when it sent the cursors; empty before its first response
-	failures    int               // calls without usable confirmations, reset retryPreferredAfter after the latest; selects the source
-	lastFailure crlclock.Instant
-	cause       string // why the latest call failed, or its confirmations were too old
+	// exchangedWith is the incarnation of the source that got the Exchange's first message; another one needs that message too.
+	exchangedWith crlid.Incarnation
+	failures      int // calls without usable confirmations, reset retryPreferredAfter after the latest; selects the source
+	lastFailure   crlclock.Instant
+	cause         string // why the latest call failed, or its confirmations were too old
 }
 
 // NewFollower returns a Follower without a roster or seeds.
 func NewFollower(config FollowerConfig) *Follower {
+	if config.Exchange == nil {
+		config.Exchange = noExchange{}
+	}
 	return &Follower{config: config, cursors: make(map[Topic]Cursor)}
 }
 
@@ -152,7 +158,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.isReader() && f.ownFreshUntil() > f.config.Now() && !f.config.StoreFailing() {
-		return Member{}, false // A reader whose own reads succeed needs no source.
+		// A reader whose own reads succeed needs no source.
+		first := f.roster.Members[0]
+		return first, f.config.Exchange.Pending() && first.Address != f.config.Self.Address
 	}
 	type ranked struct {
 		member Member
@@ -215,17 +223,25 @@
 	}
 	var response FollowResponse
 	sentAt := f.config.Now()
+	isNew := f.incarnation == "" || f.exchangedWith != f.incarnation
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, FollowRequest{
 		Source: f.incarnation, Cursors: f.cursors, MaxWait: Milliseconds(FollowWait.Milliseconds()), RosterDigest: f.Roster().digest(),
+		Exchange: f.config.Exchange.Request(isNew),
 	}, &response)
 	if err != nil {
 		f.cause = err.Error()
 		return false
 	}
+	if isNew || response.Source == f.incarnation {
+		f.exchangedWith = response.Source
+	}
 	f.incarnation = response.Source // A source with another incarnation has ignored the cursors and sent all records.
 	if response.Roster != nil {
 		f.UpdateRoster(*response.Roster)
 	}
+	if response.Exchange != nil {
+		f.config.Exchange.Learn(response.Exchange)
+	}
 	return f.apply(response, sentAt)
 }
 
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -1,6 +1,7 @@
 package crlrelay
 
 import (
+	"encoding/json"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,16 +21,18 @@
 type FollowRequest struct {
 	Source       crlid.Incarnation `json:"source"` // source whose replicas the cursors refer to; another incarnation ignores the cursors
 	Cursors      map[Topic]Cursor  `json:"cursors"`
-	MaxWait      Milliseconds      `json:"wait-ms"` // limit on how long the call is held when nothing changed
-	RosterDigest uint64            `json:"roster"`  // digest of the roster that the follower has
+	MaxWait      Milliseconds      `json:"wait-ms"`            // limit on how long the call is held when nothing changed
+	RosterDigest uint64            `json:"roster"`             // digest of the roster that the follower has
+	Exchange     json.RawMessage   `json:"exchange,omitempty"` // message of the follower's Exchange
 }
 
 // FollowResponse is the reply to a FollowRequest.
 type FollowResponse struct {
-	Source  crlid.Incarnation    `json:"source"`
-	Topics  map[Topic]TopicDelta `json:"topics"`
-	HeldFor Milliseconds         `json:"held-ms"`          // how long the source held the call
-	Roster  *Roster              `json:"roster,omitempty"` // set when the digest of the source's roster differs from the request's
+	Source   crlid.Incarnation    `json:"source"`
+	Topics   map[Topic]TopicDelta `json:"topics"`
+	HeldFor  Milliseconds         `json:"held-ms"`            // how long the source held the call
+	Roster   *Roster              `json:"roster,omitempty"`   // set when the digest of the source's roster differs from the request's
+	Exchange json.RawMessage      `json:"exchange,omitempty"` // reply of the source's Exchange
 }
 
 // TopicDelta holds the changes of one replica since the follower's cursor.
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -17,13 +17,19 @@
 	Replicas map[Topic]*Replica
 	Roster   func() Roster
 	Now      crlclock.Clock
+	Exchange Exchange // nil for none
 }
 
 // Server answers the calls of followers.
 type Server struct{ config ServerConfig }
 
 // NewServer returns a Server of the given replicas.
-func NewServer(config ServerConfig) *Server { return &Server{config: config} }
+func NewServer(config ServerConfig) *Server {
+	if config.Exchange == nil {
+		config.Exchange = noExchange{}
+	}
+	return &Server{config: config}
+}
 
 // Follow returns the changes since the request's cursors. It holds the call until there are changes or the requested wait
 // is over; a server whose replicas are not all loaded replies at once, so that the follower can try another source.
@@ -32,11 +38,12 @@
 		request.Cursors = nil
 	}
 	receivedAt := s.config.Now()
+	reply := s.config.Exchange.Reply(request.Exchange)
 	if s.loaded() {
 		s.wait(ctx, request)
 	}
 	answeredAt := s.config.Now()
-	response := FollowResponse{Source: s.config.Self, Topics: make(map[Topic]TopicDelta, len(s.config.Replicas))}
+	response := FollowResponse{Source: s.config.Self, Topics: make(map[Topic]TopicDelta, len(s.config.Replicas)), Exchange: reply}
 	// The held time is rounded down and ages are rounded up, so that no confirmation looks newer than it is.
 	response.HeldFor = Milliseconds(answeredAt.Sub(receivedAt).Milliseconds())
 	for topic, replica := range s.config.Replicas {
--- /dev/null
+++ b/crlrollout/assessment.go
@@ -0,0 +1,179 @@
+package crlrollout
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+)
+
+// assessment tests whether the target of a roll-out fails more often, or is slower, than the other versions at the same time.
+//
+// The test is sequential and makes no assumption about how times are distributed. For each class and measure, the value of an answer
+// of the target is ranked among the recent values of other versions. If the target is no worse, its rank is as likely to be any as any
+// other, or more likely to be a good one. Each rank multiplies a wager, such that the wager on average does not grow unless the target
+// is worse. Evidence is the logarithm of the factor by which a wager has grown since its lowest point.
+type assessment struct {
+	random        func() float64 // returns random numbers in [0, 1)
+	classes       map[classKey]*classAssessment
+	targetAnswers int // number of answers of the target with a time to the first byte
+}
+
+const (
+	// badEvidence is the evidence at which a target is bad, with up to fullEvidenceDaemons daemons. With more daemons there are as many
+	// more answers, so it grows by the logarithm of their number.
+	badEvidence         = 8.0
+	fullEvidenceDaemons = 8
+	// aloneBadEvidence is badEvidence of a daemon that is cut off from the others: it can't wait for what they observe.
+	aloneBadEvidence = 6.0
+	// suspectEvidence is the evidence at which a target is suspect.
+	suspectEvidence = 5.5
+	// otherGroupsFraction is the part of the evidence that must remain without the group of servers that shows most.
+	otherGroupsFraction = 0.65
+	// minOldValues is the number of values of other versions from which a value of the target is ranked.
+	minOldValues = 5
+	maxOldValues = 1024 // bounds the memory of a class
+	maxClasses   = 256  // bounds the memory of an assessment
+)
+
+// window selects the values of other versions with which a value of the target is compared, by their distance in time.
+type window struct{ before, after time.Duration }
+
+// windows of the measures. Times follow the load, which may change fast. The windows of these measures extend to both sides, so that a
+// rise of the load does not look like a fault of the target.
+var windows = [measureCount]window{
+	MeasureFailure:   {before: 10 * time.Second},
+	MeasureFirstByte: {before: time.Second, after: time.Second},
+	MeasurePace:      {before: time.Second, after: time.Second},
+	MeasureDuration:  {before: time.Second, after: time.Second},
+}
+
+// allowedBuckets is by how many buckets the values of a good target may be higher, as its servers have no prompts cached at first.
+var allowedBuckets = [measureCount]int{MeasureFirstByte: 1, MeasureDuration: 1}
+
+// wagerExponents are the exponents of three wagers on each rank. A low one grows fast if most answers are bad, a high one if few are.
+var wagerExponents = [...]float64{0.3, 0.5, 0.75}
+
+// timedSample is a sample with the time at which it arrived.
+type timedSample struct {
+	sample Sample
+	at     crlclock.Instant
+}
+
+// classAssessment is the assessment of one class and measure.
+type classAssessment struct {
+	old      []timedSample // newest values of other versions, the oldest first
+	unranked []timedSample // values of the target whose windows have not ended
+	// growth is the logarithm of the growth of each wager since its lowest point, over the answers of all groups of the target's servers
+	// but one.
+	growth   [len(wagerExponents)][ServerGroups]float64
+	all      [len(wagerExponents)]float64 // the same over the answers of all groups
+	evidence float64                      // growthOf at the newest answer of the target
+}
+
+func newAssessment(random func() float64) *assessment {
+	return &assessment{random: random, classes: make(map[classKey]*classAssessment)}
+}
+
+// add takes a sample into account, in its class and in all classes together. servers is the number of the target's servers.
+//
+// Both versions get requests of all classes in the same proportions, so that ranks among the answers of all classes are as valid as
+// those within a class. They need fewer answers to show a fault, unless it is confined to a class.
+func (a *assessment) add(s Sample, now crlclock.Instant, servers int) {
+	if s.target() && s.key().measure() == MeasureFirstByte {
+		a.targetAnswers++
+	}
+	a.addTo(s.key(), s, now, servers)
+	a.addTo(s.key().allClasses(), s, now, servers)
+}
+
+// addTo is add for one class.
+func (a *assessment) addTo(key classKey, s Sample, now crlclock.Instant, servers int) {
+	c, ok := a.classes[key]
+	if !ok {
+		if len(a.classes) >= maxClasses {
+			return
+		}
+		c = &classAssessment{}
+		a.classes[key] = c
+	}
+	values := &c.old
+	if s.target() {
+		values = &c.unranked
+	}
+	*values = append(*values, timedSample{sample: s, at: now})
+	window := windows[key.measure()]
+	c.dropOld(now.Add(-window.before - window.after))
+	for len(c.unranked) > 0 && now.Sub(c.unranked[0].at) >= window.after {
+		c.rank(c.unranked[0], window, a.random())
+		c.unranked = c.unranked[1:]
+		c.evidence = c.growthOf(servers)
+	}
+}
+
+// evidence returns the logarithm of the highest growth of a wager, over all classes and measures.
+func (a *assessment) evidence() (highest float64) {
+	for _, c := range a.classes {
+		highest = max(highest, c.evidence)
+	}
+	return highest
+}
+
+// dropOld drops the values of other versions that arrived before a moment, and the oldest if there are too many.
+func (c *classAssessment) dropOld(before crlclock.Instant) {
+	n := max(0, len(c.old)-maxOldValues)
+	for n < len(c.old) && c.old[n].at < before {
+		n++
+	}
+	c.old = c.old[n:]
+}
+
+// rank ranks a value of the target among those of other versions and updates the wagers. tie, from 0 to 1, is the rank among equal
+// values. A value whose window has no value of another version at its end is left out, as the load may have changed.
+func (c *classAssessment) rank(value timedSample, window window, tie float64) {
+	bucket := max(value.sample.bucket()-allowedBuckets[value.sample.key().measure()], 0)
+	worse, equal, all, later := 0.0, 0.0, 0.0, 0
+	for _, old := range c.old {
+		distance := old.at.Sub(value.at)
+		if distance < -window.before || distance > window.after {
+			continue
+		}
+		all++
+		if distance >= window.after/2 {
+			later++
+		}
+		switch {
+		case old.sample.bucket() > bucket:
+			worse++
+		case old.sample.bucket() == bucket:
+			equal++
+		}
+	}
+	if all < minOldValues || window.after > 0 && later == 0 {
+		return
+	}
+	p := (worse + (1-tie)*(equal+1)) / (all + 1)
+	for i, exponent := range wagerExponents {
+		growth := math.Log(exponent) + (exponent-1)*math.Log(p)
+		c.all[i] = max(0, c.all[i]+growth)
+		for group := range ServerGroups {
+			if group != value.sample.group() {
+				c.growth[i][group] = max(0, c.growth[i][group]+growth)
+			}
+		}
+	}
+}
+
+// growthOf returns the highest logarithm of the growth of a wager. If the target has several servers, a wager counts only as far as it has
+// grown, up to otherGroupsFraction, without the answers of any one group of them.
+func (c *classAssessment) growthOf(servers int) (highest float64) {
+	for i, growth := range c.growth {
+		g := c.all[i]
+		if servers > 1 {
+			g = min(g, slices.Min(growth[:])/otherGroupsFraction)
+		}
+		highest = max(highest, g)
+	}
+	return highest
+}
--- a/crlrollout/doc.go
+++ b/crlrollout/doc.go
@@ -8,11 +8,12 @@
 // target can get before the deadline.
 //
 // Each daemon has its own Tracker. It compares the answers of both versions
-// that this daemon saw and stops using a target that fails significantly more
-// often. Daemons share the outcome as a Status in the platform's store: Due
-// returns the statuses to write, and RecordStatus applies one that was read. A
-// daemon that starts during a roll-out must record the status before it adds
-// the order, or it starts over at the first step.
+// and stops using a target that fails more often or is slower. Daemons send
+// each other what they observed, as Samples in a Report, so that all samples
+// meet at one of them. They share the outcome as a Status in the platform's
+// store: Due returns the statuses to write, and RecordStatus applies one that
+// was read. A daemon that starts during a roll-out must record the status
+// before it adds the order, or it starts over at the first step.
 //
 // A Tracker is safe for concurrent use. It does no I/O and reads no clock:
 // callers pass the time.
--- /dev/null
+++ b/crlrollout/report.go
@@ -0,0 +1,168 @@
+package crlrollout
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+// Report carries samples to another daemon: those of the daemon that sends it, and those that it received from others.
+type Report struct {
+	Rollouts []RolloutReport `json:"rollouts"`
+}
+
+// RolloutReport holds samples of one roll-out.
+type RolloutReport struct {
+	Service crlid.Service  `json:"service"`
+	Order   crlid.Offset   `json:"order"` // Order.Offset
+	Origins []OriginReport `json:"origins"`
+}
+
+// OriginReport holds samples of one origin: all that are kept of those after number After, up to number UpTo.
+type OriginReport struct {
+	Origin  crlid.Incarnation `json:"origin"`
+	After   int64             `json:"after"`
+	UpTo    int64             `json:"up-to"`
+	Samples []Sample          `json:"samples"`
+}
+
+// Reply answers a Report.
+type Reply struct {
+	Rollouts []RolloutReply `json:"rollouts"`
+}
+
+// RolloutReply states what a daemon knows about one roll-out.
+type RolloutReply struct {
+	Service crlid.Service `json:"service"`
+	Order   crlid.Offset  `json:"order"` // Order.Offset
+	// Received holds the number of the newest sample that the daemon has of each origin that the report named.
+	Received map[crlid.Incarnation]int64 `json:"received"`
+	Suspect  bool                        `json:"suspect"` // the target is suspect
+	Bad      bool                        `json:"bad"`     // the target is marked bad
+}
+
+// Reporter sends the samples of a Tracker to another daemon in pieces. It must be used by one goroutine.
+type Reporter struct {
+	tracker  *Tracker
+	received map[crlid.Service]RolloutReply // what the other daemon has of each roll-out
+}
+
+// NewReporter returns a Reporter that has sent nothing.
+func NewReporter(tracker *Tracker) *Reporter {
+	return &Reporter{tracker: tracker, received: make(map[crlid.Service]RolloutReply)}
+}
+
+// Reset prepares for reports to another daemon, which gets all samples that are kept.
+func (r *Reporter) Reset() { clear(r.received) }
+
+// Pending reports whether a roll-out is running whose outcome samples may still change.
+func (r *Reporter) Pending() bool {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	for _, rollout := range r.tracker.rollouts {
+		if rollout.assessable() {
+			return true
+		}
+	}
+	return false
+}
+
+// Next returns the report to send next; ok is false if no roll-out is running.
+func (r *Reporter) Next() (report Report, ok bool) {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, rollout := range t.rollouts {
+		if !rollout.assessable() {
+			continue
+		}
+		known := r.received[service]
+		if known.Order != rollout.order.Offset {
+			known.Received = nil
+		}
+		part := RolloutReport{Service: service, Order: rollout.order.Offset}
+		for _, origin := range slices.Sorted(maps.Keys(rollout.logs)) {
+			log, after := rollout.logs[origin], known.Received[origin]
+			if after >= log.newest {
+				continue
+			}
+			samples, upTo := log.after(after)
+			part.Origins = append(part.Origins, OriginReport{Origin: origin, After: after, UpTo: upTo, Samples: samples})
+		}
+		report.Rollouts = append(report.Rollouts, part)
+	}
+	return report, len(report.Rollouts) > 0
+}
+
+// Learn applies the reply to a report. It returns the services whose targets it marks bad.
+func (r *Reporter) Learn(reply Reply) (markedBad []crlid.Service) {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, news := range reply.Rollouts {
+		r.merge(news)
+		rollout, ok := t.rollouts[news.Service]
+		if ok && rollout.order.Offset == news.Order {
+			rollout.suspectElsewhere = news.Suspect
+		}
+		if ok && news.Bad && rollout.order.Offset == news.Order && rollout.assessable() {
+			rollout.verdict = verdictLearned
+			markedBad = append(markedBad, news.Service)
+		}
+	}
+	return markedBad
+}
+
+// merge adds what a reply states as received to what is known.
+func (r *Reporter) merge(news RolloutReply) {
+	known := r.received[news.Service]
+	if known.Order != news.Order || known.Received == nil {
+		known = RolloutReply{Order: news.Order, Received: make(map[crlid.Incarnation]int64)}
+	}
+	for origin, number := range news.Received {
+		known.Received[origin] = number
+	}
+	r.received[news.Service] = known
+}
+
+// Receive adds the samples of another daemon's report to the assessments, and returns the reply and the services whose targets it
+// marks bad. Each sample is added once, whichever way it comes.
+func (t *Tracker) Receive(report Report, now crlclock.Instant) (reply Reply, markedBad []crlid.Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range report.Rollouts {
+		r, ok := t.rollouts[part.Service]
+		if !ok || r.order.Offset != part.Order {
+			continue
+		}
+		news := RolloutReply{Service: part.Service, Order: part.Order, Received: make(map[crlid.Incarnation]int64, len(part.Origins))}
+		for _, origin := range part.Origins {
+			if t.receive(r, origin, now) {
+				markedBad = append(markedBad, part.Service)
+			}
+			news.Received[origin.Origin] = r.log(origin.Origin).newest
+		}
+		news.Suspect = r.suspectSince != 0
+		news.Bad = r.verdict != verdictOpen || r.status.State == StateRolledBack
+		reply.Rollouts = append(reply.Rollouts, news)
+	}
+	return reply, markedBad
+}
+
+// receive adds the samples of one origin and reports whether the target is now marked bad. A report that does not continue what was
+// received before is ignored: the reply tells its sender where to continue.
+func (t *Tracker) receive(r *rollout, report OriginReport, now crlclock.Instant) (markedBad bool) {
+	log := r.log(report.Origin)
+	if !r.assessable() || report.After != log.newest || report.UpTo < report.After+int64(len(report.Samples)) {
+		return false
+	}
+	for i, sample := range report.Samples {
+		// The numbers of single samples don't matter, as long as they rise up to that of the last one.
+		log.add(report.UpTo-int64(len(report.Samples)-1-i), sample)
+		r.assessment.add(sample, now, r.servers)
+	}
+	log.newest = report.UpTo
+	return t.judge(r, now)
+}
--- a/crlrollout/schedule.go
+++ b/crlrollout/schedule.go
@@ -8,7 +8,7 @@
 // schedule gives the target's share of the requests as a function of the elapsed fraction of the roll-out's time.
 type schedule struct {
 	steps     []step
-	fullStart float64 // elapsed fraction from which the target gets all requests
+	fullStart float64 // elapsed fraction from which the target gets fullShare of the requests
 }
 
 // Shares are parts of the service's requests. Fractions are parts of the roll-out's time unless stated otherwise.
@@ -18,15 +18,19 @@
 	// towards the deadline than before.
 	usedExposureFraction = 0.8
 	// fullStepExposure is the exposure bound from which the steps have their full size; below it they are scaled down.
-	fullStepExposure  = 0.12
-	firstShare        = 0.02 // target's share in the first step; enough to detect, from few answers, a version that fails at once
-	secondShare       = 0.04 // target's share once sessions may change their version
-	warmupShare       = 0.25 // target's share just before it gets all requests; fills its caches and queues
-	warmupFraction    = 0.04 // length of the step with warmupShare, as a fraction of the roll-out's time
+	fullStepExposure = 0.12
+	firstShare       = 0.02 // target's share in the first step; enough to detect, from few answers, a version that fails at once
+	// secondExposureFraction is the part of the used exposure that the second step uses up, once sessions may change their version.
+	// Most answers that show a rare fault in time come from that step.
+	secondExposureFraction = 0.25
+	warmupShare            = 0.25 // target's share just before it gets nearly all requests; fills its caches and queues
+	warmupFraction         = 0.1  // length of the step with warmupShare, as a fraction of the roll-out's time
+	// fullShare is the target's share in the last step. The rest shows how other versions fare under the same load.
+	fullShare         = 0.9
 	secondStart       = pinnedFraction
-	maxSecondFraction = 0.38 // greatest length of the step with secondShare, as a fraction of the roll-out's time
+	maxSecondFraction = 0.34 // greatest length of the second step, as a fraction of the roll-out's time
 	// drainFraction is the part of the time between fullStart and the deadline that is left to open answers of the old version.
-	drainFraction = 0.4
+	drainFraction = 0.45
 	// statusWriteTime is reserved before the deadline for writing the status, with a few attempts by several daemons.
 	statusWriteTime = 600 * time.Millisecond
 )
@@ -39,10 +43,11 @@
 		exposure = defaultExposure
 	}
 	scale := min(1, exposure/fullStepExposure)
-	exposureBefore := scale * (secondStart*firstShare + maxSecondFraction*secondShare + warmupFraction*warmupShare)
+	secondShare := secondExposureFraction * usedExposureFraction * exposure / maxSecondFraction
+	exposureBefore := scale*(secondStart*firstShare+warmupFraction*warmupShare) + maxSecondFraction*secondShare
 	fullStart := max(1-(usedExposureFraction*exposure-exposureBefore), secondStart+warmupFraction)
 	return schedule{fullStart: fullStart, steps: []step{
-		{0, scale * firstShare}, {secondStart, scale * secondShare}, {fullStart - warmupFraction, scale * warmupShare}, {fullStart, 1},
+		{0, scale * firstShare}, {secondStart, secondShare}, {fullStart - warmupFraction, scale * warmupShare}, {fullStart, fullShare},
 	}}
 }
 
@@ -60,6 +65,10 @@
 // completionFraction returns the elapsed fraction of a roll-out's time from which the move to a target without a fault is
 // complete. total is the whole time of the roll-out.
 func (s schedule) completionFraction(total time.Duration) float64 {
-	latest := 1 - float64(statusWriteTime)/float64(total)
-	return max(min(s.fullStart+drainFraction*(1-s.fullStart), latest), s.fullStart)
+	return max(min(s.fullStart+drainFraction*(1-s.fullStart), latestCompletion(total)), s.fullStart)
+}
+
+// latestCompletion returns the elapsed fraction of a roll-out's time from which too little is left to write its status.
+func latestCompletion(total time.Duration) float64 {
+	return 1 - float64(statusWriteTime)/float64(total)
 }
--- a/crlrollout/tracker.go
+++ b/crlrollout/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	Target  crlid.Version
 	State   State
 	Offset  crlid.Offset // offset of the record in the status topic; not set by Due
+	Urgent  bool         // set by Due if other daemons may not know yet that this status is due
 }
 
 const (
@@ -50,14 +52,26 @@
 
 // rollout is the state of one order.
 type rollout struct {
-	order         Order
-	startedAt     crlclock.Instant // start of the roll-out's time, which may be estimated
-	status        Status           // newest status that was read from the store
-	targetAnswers answerTally      // answers of the target that this daemon saw
-	oldAnswers    answerTally      // answers of all other versions that this daemon saw
-	targetBad     bool             // this daemon found that the target fails more often than the old version
+	order            Order
+	startedAt        crlclock.Instant                 // start of the roll-out's time, which may be estimated
+	status           Status                           // newest status that was read from the store
+	servers          int                              // number of the target's servers when a plan was made last
+	assessment       *assessment                      // test of the target, on the samples of this daemon and of those that report to it
+	logs             map[crlid.Incarnation]*sampleLog // samples by origin: this daemon and all whose samples reached it
+	suspectSince     crlclock.Instant                 // since when the target has been suspect, 0 if it isn't
+	suspectElsewhere bool                             // the target is suspect at the daemon that this one reports to
+	verdict          verdict
 }
 
+// verdict is what a daemon knows about the target of a roll-out.
+type verdict int
+
+const (
+	verdictOpen    verdict = iota // the target is not known to be bad
+	verdictReached                // this daemon's assessment marked the target bad
+	verdictLearned                // another daemon marked the target bad
+)
+
 // fullStepDaemons is the number of daemons up to which the first step has its full size. With more daemons it shrinks in
 // proportion: sessions move between daemons, so more of them would be moved to the other version by a daemon that doesn't
 // know them, and a smaller share of the requests is enough to judge a version.
@@ -65,8 +79,11 @@
 
 // Config configures a Tracker.
 type Config struct {
-	Daemons  func() int // returns the number of daemons over which the requests are spread
-	Exposure float64    // largest share of all requests up to the deadline that a bad target may get, 0 for defaultExposure
+	Self     crlid.Incarnation // sender of this daemon's reports
+	Daemons  func() int        // returns the number of daemons over which the requests are spread
+	Alone    func() bool       // reports whether this daemon is cut off from all others and from the store; nil if it never is
+	Exposure float64           // largest share of all requests up to the deadline that a bad target may get, 0 for defaultExposure
+	Random   func() float64    // returns random numbers in [0, 1); nil for math/rand/v2
 }
 
 // Tracker holds the roll-outs of all services. It is safe for concurrent use.
@@ -80,6 +97,12 @@
 
 // NewTracker returns a Tracker without orders.
 func NewTracker(config Config) *Tracker {
+	if config.Random == nil {
+		config.Random = rand.Float64
+	}
+	if config.Alone == nil {
+		config.Alone = func() bool { return false }
+	}
 	return &Tracker{
 		config: config, schedule: newSchedule(config.Exposure),
 		rollouts: make(map[crlid.Service]*rollout), statuses: make(map[crlid.Service]Status),
@@ -95,7 +118,9 @@
 	if known, ok := t.rollouts[order.Service]; ok && known.order.Offset >= order.Offset {
 		return
 	}
-	r := &rollout{order: order, startedAt: now}
+	r := &rollout{
+		order: order, startedAt: now, assessment: newAssessment(t.config.Random), logs: make(map[crlid.Incarnation]*sampleLog),
+	}
 	status, ok := t.statuses[order.Service]
 	if ok && status.Target == order.Target && existing {
 		r.status = status
@@ -127,29 +152,77 @@
 	return true
 }
 
-// Observation is one answer of a backend server.
-type Observation struct {
-	Service crlid.Service
-	Version crlid.Version
-	Bad     bool // the answer failed, or took several times longer than usual
-}
-
-// Observe counts an answer and reports whether it is the one after which the target is marked bad. From then on, the target
-// gets no more requests from this daemon and Due returns StateRolledBack.
-func (t *Tracker) Observe(o Observation) (markedBad bool) {
+// Observe records an observation of this daemon and reports whether it is the one after which the target is marked bad. From then on,
+// the target gets no more requests from this daemon and Due returns StateRolledBack.
+func (t *Tracker) Observe(o Observation, now crlclock.Instant) (markedBad bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.rollouts[o.Service]
-	if !ok || r.targetBad || r.status.State == StateCompleted || r.status.State == StateRolledBack {
+	if !ok || !r.assessable() {
+		return false
+	}
+	sample := newSample(o, o.Version == r.order.Target)
+	if !sample.target() && t.config.Random()*float64(t.config.Daemons()) > fullSampleDaemons {
+		return false
+	}
+	log := r.log(t.config.Self)
+	log.add(log.newest+1, sample)
+	r.assessment.add(sample, now, r.servers)
+	return t.judge(r, now)
+}
+
+// fullSampleDaemons is the number of daemons up to which each records all its answers of old versions. With more daemons each records a
+// random part, so that together they record as many.
+const fullSampleDaemons = 30
+
+// assessable reports whether samples may still change the course of the roll-out.
+func (r *rollout) assessable() bool {
+	return r.verdict == verdictOpen && r.status.State != StateCompleted && r.status.State != StateRolledBack
+}
+
+// log returns the log of an origin, a new one if there is none.
+func (r *rollout) log(origin crlid.Incarnation) *sampleLog {
+	log, ok := r.logs[origin]
+	if !ok {
+		log = &sampleLog{}
+		r.logs[origin] = log
+	}
+	return log
+}
+
+const (
+	// countedAnswers is the number of the target's answers from which a suspect target gets suspectTime to clear itself. A deployment
+	// may allow a target few seconds after its 50th bad answer.
+	countedAnswers = 40
+	suspectTime    = 2 * time.Second
+)
+
+// judge updates what is known about the target from the evidence, and reports whether it is now marked bad: because the evidence is
+// strong, or because the target is suspect and is not cleared in time.
+func (t *Tracker) judge(r *rollout, now crlclock.Instant) (markedBad bool) {
+	if !r.assessable() {
+		return false
+	}
+	enough := badEvidence + math.Log(max(1, float64(t.config.Daemons())/fullEvidenceDaemons))
+	if t.config.Alone() {
+		enough = aloneBadEvidence
+	}
+	evidence := r.assessment.evidence()
+	suspect := suspectEvidence + enough - badEvidence
+	if evidence < suspect && !r.suspectElsewhere {
+		r.suspectSince = 0
 		return false
 	}
-	if o.Version != r.order.Target {
-		r.oldAnswers.add(o.Bad)
+	if r.suspectSince == 0 {
+		r.suspectSince = now
+	}
+	tooLate := r.elapsedFraction(now) >= latestCompletion(r.order.Duration) ||
+		r.assessment.targetAnswers >= countedAnswers && now.Sub(r.suspectSince) > suspectTime
+	if evidence < enough && (!tooLate || evidence < suspect) {
 		return false
 	}
-	r.targetAnswers.add(o.Bad)
-	r.targetBad = r.targetAnswers.failsMoreThan(r.oldAnswers)
-	return r.targetBad
+	r.verdict = verdictReached
+	return true
 }
 
 // Plan determines which versions a request of a service may and should run on. The zero Plan allows all versions.
@@ -160,8 +233,15 @@
 	TargetOnly   bool          // no other version is allowed
 	TargetBarred bool          // the target is not allowed
 	OrderOffset  crlid.Offset  // Order.Offset of the roll-out
+	LastStep     bool          // other versions are about to be stopped, which cuts off their open requests
+	// TargetServers is the number of the target's servers that should share its requests, 0 for all. Each then has about as many requests
+	// as a server of another version, so that their times can be compared.
+	TargetServers int
 }
 
+// minTargetServers is the least Plan.TargetServers, as the fault of a single server must not be taken for that of its version.
+const minTargetServers = 2
+
 // Capacity returns the number of a service's servers that accept new requests: those of the given version and all others.
 type Capacity func(service crlid.Service, version crlid.Version) (target, others int)
 
@@ -180,18 +260,27 @@
 // first step while sessions are pinned or the target has too few servers.
 func (r *rollout) plan(schedule schedule, now crlclock.Instant, capacity Capacity, daemons int) Plan {
 	p := Plan{Target: r.order.Target, OrderOffset: r.order.Offset}
+	var others int
+	r.servers, others = capacity(r.order.Service, r.order.Target)
 	switch {
 	case r.status.State == StateCompleted:
 		p.TargetOnly, p.Share = true, 1
-	case r.targetBad || r.status.State == StateRolledBack:
+	case r.verdict != verdictOpen || r.status.State == StateRolledBack:
 		p.TargetBarred = true
 	default:
 		elapsed := r.elapsedFraction(now)
+		if r.suspectSince != 0 {
+			elapsed = min(elapsed, r.elapsedFraction(r.suspectSince)) // A suspect target gets no larger share.
+		}
 		p.PinSessions = elapsed < pinnedFraction
 		p.Share = schedule.share(elapsed)
-		if p.PinSessions || !r.hasCapacity(capacity) {
+		if p.PinSessions || !hasCapacity(r.servers, others) {
 			p.Share = schedule.steps[0].share * min(1, fullStepDaemons/float64(daemons))
 		}
+		p.LastStep = p.Share >= fullShare
+		if !p.LastStep {
+			p.TargetServers = max(minTargetServers, int(math.Ceil(p.Share/(1-p.Share)*float64(others))))
+		}
 	}
 	return p
 }
@@ -204,9 +293,8 @@
 	return float64(now.Sub(r.startedAt)) / float64(r.order.Duration)
 }
 
-// hasCapacity reports whether the target has enough servers to get more than the first step.
-func (r *rollout) hasCapacity(capacity Capacity) bool {
-	target, others := capacity(r.order.Service, r.order.Target)
+// hasCapacity reports whether the target has enough servers, compared with other versions, to get more than the first step.
+func hasCapacity(target, others int) bool {
 	return target > 0 && float64(target) >= minCapacityRatio*float64(others)
 }
 
@@ -216,8 +304,9 @@
 	defer t.mu.Unlock()
 	var due []Status
 	for _, r := range t.rollouts {
+		t.judge(r, now)
 		if state := r.dueState(t.schedule, now, capacity); state != r.status.State {
-			due = append(due, Status{Service: r.order.Service, Target: r.order.Target, State: state})
+			due = append(due, Status{Service: r.order.Service, Target: r.order.Target, State: state, Urgent: r.verdict == verdictReached})
 		}
 	}
 	return due
@@ -228,9 +317,9 @@
 	switch {
 	case r.status.State == StateCompleted || r.status.State == StateRolledBack:
 		return r.status.State
-	case r.targetBad:
+	case r.verdict != verdictOpen:
 		return StateRolledBack
-	case r.elapsedFraction(now) >= schedule.completionFraction(r.order.Duration) && r.hasCapacity(capacity):
+	case r.suspectSince == 0 && r.elapsedFraction(now) >= schedule.completionFraction(r.order.Duration) && hasCapacity(capacity(r.order.Service, r.order.Target)):
 		return StateCompleted
 	default:
 		return StateRunning
@@ -263,42 +352,3 @@
 		return !p.TargetOnly
 	}
 }
-
-// answerTally counts answers, and the bad ones among them, with weights that decay exponentially so that a change becomes
-// visible.
-type answerTally struct{ answers, bad float64 }
-
-// tallyHalfLife is the number of answers after which an older one counts half. One daemon's requests to the target make up
-// that number in about ten seconds of the first step.
-const tallyHalfLife = 40.0
-
-func (t *answerTally) add(bad bool) {
-	factor := math.Exp2(-1 / tallyHalfLife)
-	t.answers = t.answers*factor + 1
-	t.bad *= factor
-	if bad {
-		t.bad++
-	}
-}
-
-const (
-	minBadAnswers         = 3.0  // number of bad answers needed to mark a target bad
-	minBadRate            = 0.03 // rate of bad answers that is assumed of the old version when its own rate is lower
-	badRateIncrease       = 0.25 // difference by which a bad version's rate of bad answers exceeds the old version's
-	badLogLikelihoodRatio = 4.6  // natural logarithm of odds of 100 to 1, at which the target is marked bad
-)
-
-// failsMoreThan reports whether the target's answers are likelier, by odds of 100 to 1, under a rate of bad answers that is
-// badRateIncrease above the old version's than under the old version's rate.
-func (t answerTally) failsMoreThan(old answerTally) bool {
-	// The factor allows for the decay of the first bad answers until the last one is counted.
-	if t.bad < minBadAnswers*math.Exp2(-minBadAnswers/tallyHalfLife) {
-		return false
-	}
-	usual := (old.bad + minBadRate) / (old.answers + 1)
-	// Bounds below 1 keep the logarithms finite.
-	usual = min(max(usual, minBadRate), 0.7)
-	worse := min(usual+badRateIncrease, 0.95)
-	ratio := t.bad*math.Log(worse/usual) + (t.answers-t.bad)*math.Log((1-worse)/(1-usual))
-	return ratio > badLogLikelihoodRatio
-}
--- a/crlrollout/tracker_test.go
+++ b/crlrollout/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -22,13 +23,21 @@
 
 // newTrackerWithOrder returns the tracker of one of several daemons, with a roll-out to v2 that begins at start.
 func newTrackerWithOrder(daemons int) *Tracker {
-	tracker := NewTracker(Config{Daemons: func() int { return daemons }})
+	tracker := NewTracker(Config{Daemons: func() int { return daemons }, Random: rand.New(rand.NewPCG(1, 1)).Float64})
 	tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, false, start)
+	tracker.Plan(service, start, equalCapacity)
 	return tracker
 }
 
-func observe(tracker *Tracker, version crlid.Version, bad bool) bool {
-	return tracker.Observe(Observation{Service: service, Version: version, Bad: bad})
+// observe records the failure or success of one of several servers, of which n selects one.
+func observe(tracker *Tracker, version crlid.Version, n int, failed bool) bool {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	return tracker.Observe(Observation{
+		Service: service, Version: version, Group: n % ServerGroups, Class: "drafts", Measure: MeasureFailure, Value: value,
+	}, start)
 }
 
 // TestExposureUntilTheDeadline bounds the share of all requests up to the deadline that a target without a fault gets. A
@@ -83,11 +92,11 @@
 	// at the 50th bad answer, of which each of two daemons has then seen 25.
 	const bound = 20
 	tracker := newTrackerWithOrder(6)
-	for range 100 {
-		observe(tracker, "v1", false)
+	for n := range 100 {
+		observe(tracker, "v1", n, false)
 	}
 	for n := 1; ; n++ {
-		if observe(tracker, "v2", n%2 == 0) {
+		if observe(tracker, "v2", n/2, n%2 == 0) {
 			break
 		}
 		if n == bound {
@@ -107,8 +116,8 @@
 func TestFailuresOfBothVersionsDontMarkTheTargetBad(t *testing.T) {
 	tracker := newTrackerWithOrder(6)
 	for n := range 200 {
-		observe(tracker, "v1", n%3 == 0)
-		if observe(tracker, "v2", n%3 == 1) {
+		observe(tracker, "v1", n, n%3 == 0)
+		if observe(tracker, "v2", n, n%3 == 1) {
 			t.Fatalf("target is marked bad after %d answers although both versions fail equally often", n)
 		}
 	}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -64,6 +64,7 @@
 	reporter *statusReporter
 	members  *membership
 	follower *crlrelay.Follower
+	evidence *evidenceExchange
 	replicas map[crlrelay.Topic]*crlrelay.Replica
 	fleet    *crlfleet.Fleet
 	service  *crlforward.Service
@@ -90,6 +91,10 @@
 	s := config.Settings
 	r := &Router{config: config, registry: prometheus.NewRegistry(), stop: make(chan struct{}), incarnation: crlid.NewIncarnation()}
 	r.replicas = make(map[crlrelay.Topic]*crlrelay.Replica)
+	rollouts := crlrollout.NewTracker(crlrollout.Config{
+		Self: r.incarnation, Daemons: func() int { return r.follower.Count() }, Alone: func() bool { return r.isAlone() }, Exposure: s.Bounds.Exposure,
+	})
+	r.evidence = newEvidenceExchange(rollouts, config.Clock, config.Logger)
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
 		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
 		Replicas: r.replicas, ApplyOrder: topicApplyOrder, Peers: config.Peers, Now: config.Clock, Log: config.Logger,
@@ -98,6 +103,7 @@
 			topicOrders: ordersLongPoll + relayDelay, topicServers: s.Bounds.serversPause() + relayDelay,
 			topicStatus: 2*statusLongPoll + relayDelay,
 		},
+		Exchange: r.evidence,
 	})
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
@@ -108,7 +114,6 @@
 		Domain: s.Domain, Share: r.members.share, Daemons: r.follower.Count, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
 		Now: config.Clock, OnTransition: logTransition(config.Logger),
 	})
-	rollouts := crlrollout.NewTracker(crlrollout.Config{Daemons: r.follower.Count, Exposure: s.Bounds.Exposure})
 	r.orders = &orderProcessor{
 		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, logger: config.Logger, tableOffset: crlid.NoOffset,
 	}
@@ -143,6 +148,9 @@
 	return r
 }
 
+// isAlone reports whether neither the store nor any other router is known to be reachable.
+func (r *Router) isAlone() bool { return r.follower.ShouldReadStore() && r.failingTopics.Load() > 0 }
+
 // setDefaults sets the fields of the network that are nil to TCP.
 func (c *Config) setDefaults() {
 	if c.Peers == nil {
@@ -299,7 +307,7 @@
 	}
 	mux := crlpeer.NewMux()
 	mux.Register(crlrelay.MethodFollow, crlpeer.Typed(crlrelay.NewServer(crlrelay.ServerConfig{
-		Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Now: r.config.Clock,
+		Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Now: r.config.Clock, Exchange: r.evidence,
 	}).Follow))
 	group.Add(func() error { return mux.Serve(taskCtx, peers) }, func(error) { _ = peers.Close() })
 	probe := &http.Server{Handler: r.probeHandler(), ReadHeaderTimeout: probeHeaderTimeout}
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -129,6 +129,7 @@
 	c.network.mu.Lock()
 	c.network.servers[address(n)] = crlrelay.NewServer(crlrelay.ServerConfig{
 		Self: started.incarnation, Replicas: started.replicas, Roster: started.follower.Roster, Now: c.clock,
+		Exchange: started.evidence,
 	})
 	c.network.mu.Unlock()
 	for _, task := range started.tasks() {
--- a/crlrouter/status.go
+++ b/crlrouter/status.go
@@ -54,8 +54,9 @@
 			continue
 		}
 		for _, status := range p.rollouts.Due(p.now(), p.fleet.Capacity) {
-			// A status becomes due at all daemons at once, so a random few of them write it. A roll-back is written by all.
-			if status.State != crlrollout.StateRolledBack && rand.N(p.daemonCount()) >= meanStatusWriters {
+			// A status becomes due at all daemons at once, so a random few of them write it. Only a verdict that the others may not know
+			// is written in any case.
+			if !status.Urgent && rand.N(p.daemonCount()) >= meanStatusWriters {
 				continue
 			}
 			p.write(ctx, status)
