Divide common limits into slots that have one user at a time

Cause: daemons derived their part of limits from rosters of the last minute or two. Late rosters overlapped (7 daemons took 1.075 of a limit), and where a part was below one request each daemon could still send one at once: 75 requests within a second on a cold server that may get 24.5. Change: each partition that the store assigns to a member of the routers' group is a slot, a 360th of every limit. A daemon uses a slot from 6.5 s after its first listing until 5 s after the last (crlbudget.SlotLeases). The rate of a cold server is divided into buckets of one request, each of a slot.

--- a/crlbudget/doc.go
+++ b/crlbudget/doc.go
@@ -6,12 +6,12 @@
 // a larger model replaces the answer of a smaller one. A Bucket limits a rate,
 // such as the requests to a server that has just started.
 //
-// Daemons don't coordinate their budgets. Each one uses only what it knows for
-// certain: the requests that it received itself, and a share of the fixed part
-// of the limit that is based on an upper bound of the number of daemons. The
-// sum over all daemons therefore stays within the limit while daemons come and
-// go.
+// Each daemon uses only what it knows for certain: the requests that it received
+// itself, and its part of the fixed limits. These are divided into slots, which
+// the platform's store assigns to daemons; SlotLeases ensures that no two
+// daemons use one at the same time. The sum over all daemons therefore stays
+// within the limit while daemons come and go, are cut off or pause.
 //
-// A RetryBudget is safe for concurrent use; a Bucket is not. Callers pass the
-// time.
+// A RetryBudget and SlotLeases are safe for concurrent use; a Bucket is not.
+// Callers pass the time.
 package crlbudget
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -25,7 +25,7 @@
 // Config configures a Fleet.
 type Config struct {
 	Domain       crlid.Domain   // failure domain of this daemon
-	Share        func() float64 // returns this daemon's share of fleet-wide limits, above 0 and at most 1
+	Slots        Slots          // this daemon's part of the limits of cold servers
 	Daemons      func() int     // returns the number of daemons that send requests to the servers
 	ColdRatio    float64        // a cold server gets at most ColdRatio * Need.ColdRate + ColdSlack requests in any second
 	ColdSlack    float64        // requests that a cold server may get beyond the ratio in any second, from all daemons together
@@ -34,6 +34,14 @@
 	OnTransition func(Transition) // called on each change of a server's state, with the fleet locked; nil for none
 }
 
+// Slots tells which slots this daemon may use, of those into which the limits that daemons share are divided.
+type Slots interface {
+	// Count returns the number of slots of all daemons.
+	Count() int
+	// Holds reports whether this daemon may use a slot. No other daemon may use it at the same time.
+	Holds(slot crlbudget.Slot, now crlclock.Instant) bool
+}
+
 //go:generate go run github.com/dmarkham/enumer -type=State -trimprefix=State -transform=kebab -linecomment -text -output=state_enumer.go
 
 // State is a state that a server enters. Log lines show the text that its String method returns.
@@ -66,9 +74,9 @@
 // server is one backend server, with this daemon's observations.
 type server struct {
 	entry           Entry
-	coldUntil       crlclock.Instant // the server is cold until then
-	newVersionUntil crlclock.Instant // other servers are preferred until then; see newVersionDelay
-	coldBucket      crlbudget.Bucket // limits the rate of requests while the server is cold
+	coldUntil       crlclock.Instant   // the server is cold until then
+	newVersionUntil crlclock.Instant   // other servers are preferred until then; see newVersionDelay
+	coldBuckets     []crlbudget.Bucket // limit the rate of requests while the server is cold; each belongs to a slot
 	openRequests    int
 	pendingWork     float64 // work of this daemon's open requests, in seconds of an unloaded server
 	health          health
--- a/crlfleet/fleet_test.go
+++ b/crlfleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
@@ -15,10 +16,16 @@
 
 func (c *fakeClock) advance(d time.Duration) { c.now = c.now.Add(d) }
 
+// allSlots are the slots of a daemon that has the limits to itself.
+type allSlots struct{}
+
+func (allSlots) Count() int                                  { return 1 }
+func (allSlots) Holds(crlbudget.Slot, crlclock.Instant) bool { return true }
+
 func newTestFleet(domain crlid.Domain) (*Fleet, *fakeClock) {
 	c := &fakeClock{now: crlclock.Instant(time.Hour)}
 	return New(Config{
-		Domain: domain, Share: func() float64 { return 1 }, Daemons: func() int { return 1 }, ColdRatio: 1.5, ColdSlack: 5,
+		Domain: domain, Slots: allSlots{}, Daemons: func() int { return 1 }, ColdRatio: 1.5, ColdSlack: 5,
 		Random: func() float64 { return 0 }, Now: func() crlclock.Instant { return c.now },
 	}), c
 }
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -183,18 +184,31 @@
 	return score + f.config.Random()*scoreJitter
 }
 
-// takeColdToken takes a token from the bucket of a cold server and reports whether there was one. It reports true for a server
-// that is not cold, which needs none.
+// takeColdToken takes a token from a bucket of a cold server and reports whether there was one. It reports true for a server that is not
+// cold, which needs none.
+//
+// The server's limit, ColdRatio * ColdRate + ColdSlack requests in any second, is divided into buckets that hold one token each and are
+// refilled at the same rate. Each belongs to a slot, and only the daemon that holds the slot may take its token.
 func (f *Fleet) takeColdToken(s *server, need Need, now crlclock.Instant) bool {
 	if need.ColdRate <= 0 || s.coldUntil <= now {
 		return true
 	}
-	share := f.config.Share()
-	// Rate and burst of all daemons together stay within rate * ratio + slack in any second.
-	return s.coldBucket.Take(crlbudget.Limit{
-		PerSecond: need.ColdRate * share,
-		Burst:     max(1, ((f.config.ColdRatio-1)*need.ColdRate+f.config.ColdSlack)*share),
-	}, now)
+	buckets := max(int((f.config.ColdRatio-1)*need.ColdRate+f.config.ColdSlack), 1)
+	if len(s.coldBuckets) != buckets {
+		s.coldBuckets = make([]crlbudget.Bucket, buckets)
+	}
+	limit := crlbudget.Limit{PerSecond: need.ColdRate / float64(buckets), Burst: 1}
+	for i := range s.coldBuckets {
+		if f.config.Slots.Holds(s.coldSlot(i, f.config.Slots.Count()), now) && s.coldBuckets[i].Take(limit, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// coldSlot returns the slot of one of the server's buckets. All daemons compute the same.
+func (s *server) coldSlot(bucket, slots int) crlbudget.Slot {
+	return crlbudget.Slot(xxhash.Sum64String(string(s.entry.Server)+" "+strconv.Itoa(bucket)) % uint64(slots))
 }
 
 //go:generate go run github.com/dmarkham/enumer -type=Outcome -trimprefix=Outcome -transform=kebab -text -output=outcome_enumer.go
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -200,6 +200,12 @@
 	return text.String()
 }
 
+// allSlots are the slots of a daemon that has the limits to itself.
+type allSlots struct{}
+
+func (allSlots) Count() int                                  { return 1 }
+func (allSlots) Holds(crlbudget.Slot, crlclock.Instant) bool { return true }
+
 // cluster is a Service with four backend servers, whose answers follow a script.
 type cluster struct {
 	service     *Service
@@ -216,7 +222,7 @@
 func newCluster(steps ...step) *cluster {
 	c := &cluster{backend: &scriptedBackend{steps: steps}, now: crlclock.NewMonotonic(), log: new(bytes.Buffer)}
 	c.confirmedAt = c.now()
-	c.fleet = crlfleet.New(crlfleet.Config{Domain: "near", Share: func() float64 { return 1 }, Daemons: func() int { return 1 }, Now: c.now})
+	c.fleet = crlfleet.New(crlfleet.Config{Domain: "near", Slots: allSlots{}, Daemons: func() int { return 1 }, Now: c.now})
 	for n := range 4 {
 		c.fleet.Announce(crlfleet.Entry{
 			Server: crlid.Server(fmt.Sprint("s", n)), Service: "app", Address: fmt.Sprintf("10.0.0.%d:1", n), Domain: "near", Version: "v1",
--- a/crlplatform/keyed.go
+++ b/crlplatform/keyed.go
@@ -46,9 +46,21 @@
 	Generation int64         // number of the newest known generation of the group (set of its members), 0 at first
 }
 
+// Membership is the reply to a Join.
+type Membership struct {
+	Generation int64       // number of the group's present set of members
+	Partitions []Partition // partitions that the member owns
+}
+
+// Partition is one partition of a group's topics.
+type Partition struct {
+	Topic  int // index of the topic in its group, from 0
+	Number int // from 0
+}
+
 // Owner states which member of a group holds one partition.
 type Owner struct {
-	Topic     int // index of the topic in its group, from 0
-	Partition int
-	Member    string
+	Partition
+
+	Member string
 }
--- a/crlrouter/members.go
+++ b/crlrouter/members.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
@@ -17,9 +18,14 @@
 )
 
 const (
-	memberGroup           = "routers"
-	groupTopics           = 30 // topics of 12 partitions each, so that every daemon of the largest planned fleet owns a partition
-	joinInterval          = 2 * time.Second
+	memberGroup = "routers"
+	// groupTopics is the number of the group's topics. With the 12 partitions of each in present deployments, every daemon of the largest
+	// planned fleet owns a partition.
+	groupTopics  = 30
+	joinInterval = 2 * time.Second
+	// A daemon that has just started joins more often, as the partitions of others are reassigned to it when these have joined again.
+	firstJoins            = 3
+	firstJoinInterval     = time.Second
 	memberTTL             = 6 * time.Second // three join intervals, so that one lost call does not end the membership
 	rosterRefreshInterval = 5 * time.Second // time between refreshes by a daemon that reads the store, while the generation is unchanged
 )
@@ -33,11 +39,13 @@
 	follower *crlrelay.Follower
 	logger   *crllog.Logger
 	now      crlclock.Clock
-	shares   *shareCalculator
+	slots    *crlbudget.SlotLeases
+	// partitions is the number of partitions of each of the group's topics.
+	partitions int
 }
 
-// share returns this daemon's share of fleet-wide limits, above 0 and at most 1.
-func (m *membership) share() float64 { return m.shares.share(m.follower.Roster(), m.now()) }
+// share returns this daemon's share of fleet-wide limits, from 0 to 1.
+func (m *membership) share() float64 { return m.slots.Share(m.now()) }
 
 // memberName encodes a member as the name under which it joins the group.
 func memberName(m crlrelay.Member) string {
@@ -60,23 +68,30 @@
 	self := memberName(m.follower.Self())
 	var generation int64
 	var refreshedAt time.Time
+	joins := 0
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
+		sentAt := m.now()
 		joined, err := m.store.Join(callCtx, crlplatform.Join{
 			Group: memberGroup, Member: self, Topics: groupTopics, TTL: memberTTL, Generation: generation,
 		})
 		cancel()
-		changed := err == nil && joined != generation
+		changed := err == nil && joined.Generation != generation
 		if err == nil {
-			generation = joined
-			m.shares.recordJoin(m.now())
+			generation = joined.Generation
+			m.slots.Record(m.slotsOf(joined.Partitions), sentAt, m.now())
+			joins++
 		}
 		// Only daemons that read the store fetch the roster; they relay it to the others.
 		if err == nil && m.follower.ShouldReadStore() && (changed || time.Since(refreshedAt) > rosterRefreshInterval) {
 			m.refreshRoster(ctx, generation)
 			refreshedAt = time.Now()
 		}
-		crlclock.Sleep(ctx, joinInterval)
+		if joins < firstJoins {
+			crlclock.Sleep(ctx, firstJoinInterval)
+		} else {
+			crlclock.Sleep(ctx, joinInterval)
+		}
 	}
 	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownMargin)
 	defer cancel()
@@ -86,6 +101,17 @@
 	return ctx.Err()
 }
 
+// slotsOf returns the slots that belong to the partitions of this daemon: one for each.
+func (m *membership) slotsOf(partitions []crlplatform.Partition) []crlbudget.Slot {
+	slots := make([]crlbudget.Slot, 0, len(partitions))
+	for _, p := range partitions {
+		if p.Topic >= 0 && p.Topic < groupTopics && p.Number >= 0 && p.Number < m.partitions {
+			slots = append(slots, crlbudget.Slot(p.Topic*m.partitions+p.Number))
+		}
+	}
+	return slots
+}
+
 // refreshRoster reads the group's members from the store and passes them to the follower, sorted by strength and then by the
 // partition that they own, so that all daemons agree on the first ones, which read the store.
 func (m *membership) refreshRoster(ctx context.Context, generation int64) {
@@ -97,7 +123,7 @@
 		return
 	}
 	slices.SortFunc(owners, func(a, b crlplatform.Owner) int {
-		return cmp.Or(cmp.Compare(a.Topic, b.Topic), cmp.Compare(a.Partition, b.Partition))
+		return cmp.Or(cmp.Compare(a.Topic, b.Topic), cmp.Compare(a.Number, b.Number))
 	})
 	roster := crlrelay.Roster{Generation: generation}
 	seen := make(map[string]bool)
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -108,10 +108,10 @@
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
 		store: config.Store, follower: r.follower, logger: config.Logger, now: config.Clock,
-		shares: newShareCalculator(r.follower.Self(), s.FirstStart),
+		slots: crlbudget.NewSlotLeases(groupTopics * s.partitions()), partitions: s.partitions(),
 	}
 	r.fleet = crlfleet.New(crlfleet.Config{
-		Domain: s.Domain, Share: r.members.share, Daemons: r.follower.Count, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
+		Domain: s.Domain, Slots: r.members.slots, Daemons: r.follower.Count, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
 		Now: config.Clock, OnTransition: logTransition(config.Logger),
 	})
 	r.orders = &orderProcessor{
--- a/crlrouter/settings.go
+++ b/crlrouter/settings.go
@@ -17,7 +17,7 @@
 	Seeds           []string // PeerListen of a few other routers, some of which may be unreachable
 	StoreAddress    string   // address of the platform's store
 	MemoryBytes     int64    // memory that the process may use, 0 if not stated
-	FirstStart      bool     // all routers of the deployment start together for the first time; see initialSettleTime
+	StorePartitions int      // number of partitions of each topic of the store, 0 for defaultStorePartitions
 	Strength        int      // the smaller number of the link's Mbit/s and the CPU's millicores; the strongest routers read the store
 	Bounds          Bounds
 }
@@ -36,6 +36,17 @@
 	ServerDrain    time.Duration // longest time from a server's announcement that it leaves to its last request, 0 for defaultServerDrain
 }
 
+// defaultStorePartitions is the number of partitions of a topic in present deployments.
+const defaultStorePartitions = 12
+
+// partitions returns the number of partitions of each topic of the store.
+func (s *Settings) partitions() int {
+	if s.StorePartitions > 0 {
+		return s.StorePartitions
+	}
+	return defaultStorePartitions
+}
+
 const (
 	defaultServerDrain = 2 * time.Second // the bound of present deployments
 	// serversPauseFraction is the fraction of the drain bound between two reads of the servers' entries. The rest leaves time
--- a/crlrouter/store_test.go
+++ b/crlrouter/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -54,9 +55,9 @@
 	return v.memoryStore.Read(ctx, topic, read)
 }
 
-func (v *storeView) Join(ctx context.Context, join crlplatform.Join) (int64, error) {
+func (v *storeView) Join(ctx context.Context, join crlplatform.Join) (crlplatform.Membership, error) {
 	if v.refuse.Load() {
-		return 0, errRefused
+		return crlplatform.Membership{}, errRefused
 	}
 	return v.memoryStore.Join(ctx, join)
 }
@@ -160,20 +161,25 @@
 	return m.append(topic, record) + 1, nil
 }
 
-func (m *memoryStore) Join(_ context.Context, join crlplatform.Join) (int64, error) {
+func (m *memoryStore) Join(_ context.Context, join crlplatform.Join) (crlplatform.Membership, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return 0, errDown
+		return crlplatform.Membership{}, errDown
+	}
+	if !slices.Contains(m.members, join.Member) {
+		m.members = append(m.members, join.Member)
+		m.generation++
 	}
-	for _, member := range m.members {
-		if member == join.Member {
-			return m.generation, nil
+	membership := crlplatform.Membership{Generation: m.generation}
+	for n := range join.Topics * defaultStorePartitions {
+		if m.members[n%len(m.members)] == join.Member {
+			membership.Partitions = append(membership.Partitions, crlplatform.Partition{
+				Topic: n / defaultStorePartitions, Number: n % defaultStorePartitions,
+			})
 		}
 	}
-	m.members = append(m.members, join.Member)
-	m.generation++
-	return m.generation, nil
+	return membership, nil
 }
 
 func (m *memoryStore) Leave(context.Context, string, string) error { return nil }
@@ -183,7 +189,7 @@
 	defer m.mu.Unlock()
 	var owners []crlplatform.Owner
 	for i, member := range m.members {
-		owners = append(owners, crlplatform.Owner{Partition: i, Member: member})
+		owners = append(owners, crlplatform.Owner{Partition: crlplatform.Partition{Number: i}, Member: member})
 	}
 	return owners, nil
 }
--- a/crlrouter/watcher.go
+++ b/crlrouter/watcher.go
@@ -27,8 +27,8 @@
 	// AppendAt appends a record if the topic ends at the offset at, and returns the topic's new end. If the topic ends elsewhere, it
 	// fails with a *crlplatform.Conflict.
 	AppendAt(ctx context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Offset) (end crlid.Offset, err error)
-	// Join adds or renews a member; the generation changes with the group's members.
-	Join(ctx context.Context, join crlplatform.Join) (generation int64, err error)
+	// Join adds or renews a member, and returns its partitions; the generation changes with the group's members.
+	Join(ctx context.Context, join crlplatform.Join) (crlplatform.Membership, error)
 	// Leave removes a member from a group at once, before its time to live ends.
 	Leave(ctx context.Context, group, member string) error
 	// Owners returns the partitions of a group's topics, each with the member that owns it.
