Find slow versions sooner in small fleets

Change: the step of 25% begins sooner and the second step is larger, by equal parts of the exposure and the slack of 30 requests, which was unused; buckets of values are half as wide; the end of the time needs more evidence than a suspicion.

--- a/crlrollout/evidence.go
+++ b/crlrollout/evidence.go
@@ -44,11 +44,11 @@
 
 // Layout of a Sample, from the lowest bit.
 const (
-	bucketBits  = 6
+	bucketBits  = 7
 	groupBits   = 3
 	targetBits  = 1
 	measureBits = 2
-	classBits   = 32 // A Sample has 44 bits, so JSON numbers hold it exactly.
+	classBits   = 32 // A Sample has 45 bits, so JSON numbers hold it exactly.
 
 	groupShift   = bucketBits
 	targetShift  = groupShift + groupBits
@@ -58,9 +58,9 @@
 	sampleBuckets = 1 << bucketBits
 )
 
-// Values are put into buckets whose bounds grow by half a power of two.
+// Values are put into buckets whose bounds grow by a quarter of a power of two.
 const (
-	bucketsPerDoubling = 2
+	bucketsPerDoubling = 4
 	lowestExponent     = -12 // the first bucket ends at 2^-12: a quarter of a millisecond for a pace
 )
 
--- a/crlrollout/schedule.go
+++ b/crlrollout/schedule.go
@@ -17,37 +17,39 @@
 	// usedExposureFraction is the part of the exposure bound that the steps use up, as requests may arrive at a higher rate
 	// towards the deadline than before.
 	usedExposureFraction = 0.8
-	// fullStepExposure is the exposure bound from which the steps have their full size; below it they are scaled down.
+	// fullStepExposure is the exposure bound from which the first step has its full size; below it the first one is scaled down.
 	fullStepExposure = 0.12
 	firstShare       = 0.02 // target's share in the first step; enough to detect, from few answers, a version that fails at once
-	// secondExposureFraction is the part of the used exposure that the second step uses up, once sessions may change their version.
-	// Most answers that show a rare fault in time come from that step.
-	secondExposureFraction = 0.25
-	warmupShare            = 0.25 // target's share just before it gets nearly all requests; fills its caches and queues
-	warmupFraction         = 0.1  // length of the step with warmupShare, as a fraction of the roll-out's time
+	// lastExposureFraction is the part of the used exposure for the time from fullStart to the deadline. The first step takes what
+	// firstShare says, and the two steps between them have equal parts of the rest.
+	lastExposureFraction = 0.5
+	secondStart          = pinnedFraction
+	warmupShare          = 0.25 // target's share just before it gets nearly all requests; fills its caches and queues
 	// fullShare is the target's share in the last step. The rest shows how other versions fare under the same load.
-	fullShare         = 0.9
-	secondStart       = pinnedFraction
-	maxSecondFraction = 0.34 // greatest length of the second step, as a fraction of the roll-out's time
+	fullShare = 0.9
 	// drainFraction is the part of the time between fullStart and the deadline that is left to open answers of the old version.
-	drainFraction = 0.45
+	drainFraction = 0.38
 	// statusWriteTime is reserved before the deadline for writing the status, with a few attempts by several daemons.
 	statusWriteTime = 600 * time.Millisecond
 )
 
 // newSchedule returns a schedule that keeps the target's share of all requests up to the deadline below exposure, or below
 // defaultExposure if that is 0. The bound includes the time at the end when a target without a fault gets all requests, as
-// some versions are bad only under a load that does not occur before the deadline.
-func newSchedule(exposure float64) schedule {
+// some versions are bad only under a load that does not occur before the deadline. The steps between the first and the last may use up
+// extra besides, also a share of all requests.
+func newSchedule(exposure, extra float64) schedule {
 	if exposure <= 0 {
 		exposure = defaultExposure
 	}
-	scale := min(1, exposure/fullStepExposure)
-	secondShare := secondExposureFraction * usedExposureFraction * exposure / maxSecondFraction
-	exposureBefore := scale*(secondStart*firstShare+warmupFraction*warmupShare) + maxSecondFraction*secondShare
-	fullStart := max(1-(usedExposureFraction*exposure-exposureBefore), secondStart+warmupFraction)
+	used := usedExposureFraction * exposure
+	first := firstShare * min(1, exposure/fullStepExposure)
+	fullStart := 1 - lastExposureFraction*used
+	// Half of what is left goes to each step between.
+	each := ((1-lastExposureFraction)*used - secondStart*first + usedExposureFraction*extra) / 2
+	warmupStart := max(fullStart-each/warmupShare, (secondStart+fullStart)/2)
+	second := min(each/(warmupStart-secondStart), warmupShare)
 	return schedule{fullStart: fullStart, steps: []step{
-		{0, scale * firstShare}, {secondStart, secondShare}, {fullStart - warmupFraction, scale * warmupShare}, {fullStart, fullShare},
+		{0, first}, {secondStart, second}, {warmupStart, warmupShare}, {fullStart, fullShare},
 	}}
 }
 
--- a/crlrollout/tracker.go
+++ b/crlrollout/tracker.go
@@ -53,8 +53,11 @@
 // rollout is the state of one order.
 type rollout struct {
 	order            Order
-	startedAt        crlclock.Instant                 // start of the roll-out's time, which may be estimated
-	status           Status                           // newest status that was read from the store
+	startedAt        crlclock.Instant // start of the roll-out's time, which may be estimated
+	status           Status           // newest status that was read from the store
+	schedule         schedule
+	requests         int                              // plans made
+	slackAdded       bool                             // whether schedule has this daemon's part of Config.ExposureSlack, or never gets it
 	servers          int                              // number of the target's servers when a plan was made last
 	assessment       *assessment                      // test of the target, on the samples of this daemon and of those that report to it
 	logs             map[crlid.Incarnation]*sampleLog // samples by origin: this daemon and all whose samples reached it
@@ -83,7 +86,9 @@
 	Daemons  func() int        // returns the number of daemons over which the requests are spread
 	Alone    func() bool       // reports whether this daemon is cut off from all others and from the store; nil if it never is
 	Exposure float64           // largest share of all requests up to the deadline that a bad target may get, 0 for defaultExposure
-	Random   func() float64    // returns random numbers in [0, 1); nil for math/rand/v2
+	// ExposureSlack is the number of requests that a bad target may get besides, from all daemons together.
+	ExposureSlack float64
+	Random        func() float64 // returns random numbers in [0, 1); nil for math/rand/v2
 }
 
 // Tracker holds the roll-outs of all services. It is safe for concurrent use.
@@ -104,7 +109,7 @@
 		config.Alone = func() bool { return false }
 	}
 	return &Tracker{
-		config: config, schedule: newSchedule(config.Exposure),
+		config: config, schedule: newSchedule(config.Exposure, 0),
 		rollouts: make(map[crlid.Service]*rollout), statuses: make(map[crlid.Service]Status),
 	}
 }
@@ -119,12 +124,13 @@
 		return
 	}
 	r := &rollout{
-		order: order, startedAt: now, assessment: newAssessment(t.config.Random), logs: make(map[crlid.Incarnation]*sampleLog),
+		order: order, startedAt: now, schedule: t.schedule, assessment: newAssessment(t.config.Random), logs: make(map[crlid.Incarnation]*sampleLog),
 	}
 	status, ok := t.statuses[order.Service]
 	if ok && status.Target == order.Target && existing {
 		r.status = status
 		r.startedAt = now.Add(-time.Duration(resumedFraction * float64(order.Duration)))
+		r.slackAdded = true // The requests of the time before are not known.
 	}
 	t.rollouts[order.Service] = r
 }
@@ -195,6 +201,8 @@
 	// may allow a target few seconds after its 50th bad answer.
 	countedAnswers = 40
 	suspectTime    = 2 * time.Second
+	// lateMargin is the evidence beyond that for suspicion at which a target is bad when the time for its completion has come.
+	lateMargin = 1.0
 )
 
 // judge updates what is known about the target from the evidence, and reports whether it is now marked bad: because the evidence is
@@ -216,9 +224,11 @@
 	if r.suspectSince == 0 {
 		r.suspectSince = now
 	}
-	tooLate := r.elapsedFraction(now) >= latestCompletion(r.order.Duration) ||
-		r.assessment.targetAnswers >= countedAnswers && now.Sub(r.suspectSince) > suspectTime
-	if evidence < enough && (!tooLate || evidence < suspect) {
+	switch {
+	case evidence >= enough:
+	case r.elapsedFraction(now) >= latestCompletion(r.order.Duration) && evidence >= suspect+lateMargin:
+	case r.assessment.targetAnswers >= countedAnswers && now.Sub(r.suspectSince) > suspectTime && evidence >= suspect:
+	default:
 		return false
 	}
 	r.verdict = verdictReached
@@ -253,12 +263,30 @@
 	if !ok {
 		return Plan{}
 	}
-	return r.plan(t.schedule, now, capacity, t.config.Daemons())
+	r.requests++
+	t.addSlack(r, now)
+	return r.plan(now, capacity, t.config.Daemons())
+}
+
+// maxExtraExposure bounds what a daemon that got few requests adds to the exposure.
+const maxExtraExposure = 0.05
+
+// addSlack extends the schedule, once the first step is over, by this daemon's part of Config.ExposureSlack. Small fleets need it: without it
+// the target's answers are too few to show a fault in time.
+func (t *Tracker) addSlack(r *rollout, now crlclock.Instant) {
+	elapsed := r.elapsedFraction(now)
+	if r.slackAdded || elapsed < secondStart {
+		return
+	}
+	r.slackAdded = true
+	expected := float64(r.requests) / elapsed // requests of this daemon in the roll-out's time
+	extra := t.config.ExposureSlack / float64(t.config.Daemons()) / expected
+	r.schedule = newSchedule(t.config.Exposure, min(extra, maxExtraExposure))
 }
 
 // plan returns the plan for requests that arrive now. In a running roll-out, the target gets no more than the share of the
 // first step while sessions are pinned or the target has too few servers.
-func (r *rollout) plan(schedule schedule, now crlclock.Instant, capacity Capacity, daemons int) Plan {
+func (r *rollout) plan(now crlclock.Instant, capacity Capacity, daemons int) Plan {
 	p := Plan{Target: r.order.Target, OrderOffset: r.order.Offset}
 	var others int
 	r.servers, others = capacity(r.order.Service, r.order.Target)
@@ -273,9 +301,9 @@
 			elapsed = min(elapsed, r.elapsedFraction(r.suspectSince)) // A suspect target gets no larger share.
 		}
 		p.PinSessions = elapsed < pinnedFraction
-		p.Share = schedule.share(elapsed)
+		p.Share = r.schedule.share(elapsed)
 		if p.PinSessions || !hasCapacity(r.servers, others) {
-			p.Share = schedule.steps[0].share * min(1, fullStepDaemons/float64(daemons))
+			p.Share = r.schedule.steps[0].share * min(1, fullStepDaemons/float64(daemons))
 		}
 		p.LastStep = p.Share >= fullShare
 		if !p.LastStep {
@@ -305,7 +333,7 @@
 	var due []Status
 	for _, r := range t.rollouts {
 		t.judge(r, now)
-		if state := r.dueState(t.schedule, now, capacity); state != r.status.State {
+		if state := r.dueState(now, capacity); state != r.status.State {
 			due = append(due, Status{Service: r.order.Service, Target: r.order.Target, State: state, Urgent: r.verdict == verdictReached})
 		}
 	}
@@ -313,13 +341,13 @@
 }
 
 // dueState returns the state that the roll-out should have now, in this daemon's view.
-func (r *rollout) dueState(schedule schedule, now crlclock.Instant, capacity Capacity) State {
+func (r *rollout) dueState(now crlclock.Instant, capacity Capacity) State {
 	switch {
 	case r.status.State == StateCompleted || r.status.State == StateRolledBack:
 		return r.status.State
 	case r.verdict != verdictOpen:
 		return StateRolledBack
-	case r.suspectSince == 0 && r.elapsedFraction(now) >= schedule.completionFraction(r.order.Duration) && hasCapacity(capacity(r.order.Service, r.order.Target)):
+	case r.suspectSince == 0 && r.elapsedFraction(now) >= r.schedule.completionFraction(r.order.Duration) && hasCapacity(capacity(r.order.Service, r.order.Target)):
 		return StateCompleted
 	default:
 		return StateRunning
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -93,6 +93,7 @@
 	r.replicas = make(map[crlrelay.Topic]*crlrelay.Replica)
 	rollouts := crlrollout.NewTracker(crlrollout.Config{
 		Self: r.incarnation, Daemons: func() int { return r.follower.Count() }, Alone: func() bool { return r.isAlone() }, Exposure: s.Bounds.Exposure,
+		ExposureSlack: s.Bounds.ExposureSlack,
 	})
 	r.evidence = newEvidenceExchange(rollouts, config.Clock, config.Logger)
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
--- a/crlrouter/settings.go
+++ b/crlrouter/settings.go
@@ -32,6 +32,7 @@
 	ColdRatio      float64       // a cold server gets at most ColdRatio * crlroute.Service.ColdRate + ColdSlack requests in any second
 	ColdSlack      float64       // requests that a cold server may get in any second beyond ColdRatio * crlroute.Service.ColdRate
 	Exposure       float64       // largest share of a service's requests up to a roll-out's deadline that a bad version may get
+	ExposureSlack  float64       // requests that a bad version may get in that time beyond Exposure
 	SessionTimeout time.Duration // longest time between two requests of a session
 	ServerDrain    time.Duration // longest time from a server's announcement that it leaves to its last request, 0 for defaultServerDrain
 }
