Pass the store's records on over a tree of daemons

Cause: at 295 VMs two readers fed 293 followers, whatever their failure domain. Calls to them ran into time-outs, and each follower whose confirmations grew old read the store itself; at the start of all, each of them read it. Change: in fleets of over 24 the strongest members of each failure domain feed the others of it (crlrelay.findPlace); a follower keeps what it knows when it turns to another source; a daemon that starts gives its seeds time, and seeds refer it to its feeder; a daemon without a fresh source looks for another for up to a second before it reads the store.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -1,17 +1,16 @@
 package crlrelay
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
@@ -56,10 +55,14 @@
 // Follower keeps this daemon's replicas up to date from those of another daemon, the source.
 type Follower struct {
 	config      FollowerConfig
-	mu          sync.Mutex // guards roster, freshUntil and seeds; the fields below them belong to the goroutine of Run
+	mu          sync.Mutex // guards the fields down to storeFrom; those below belong to the goroutine of Run
 	roster      Roster
+	place       place            // of this daemon in the roster, or among the seeds while the roster has no members
 	freshUntil  crlclock.Instant // until when the confirmations received from peers are within MaxAge, 0 at first
 	seeds       []Member         // sources to try while the roster has no members
+	heard       atomic.Bool      // whether a source has answered
+	drawn       float64          // part of the longest patience that this daemon has, from 0 to 1
+	storeFrom   crlclock.Instant // from when this daemon may read the store for want of a source
 	source      Member
 	cursors     map[Topic]Cursor
 	incarnation crlid.Incarnation // incarnation of the source when it sent the cursors; empty before its first response
@@ -75,7 +78,9 @@
 	if config.Exchange == nil {
 		config.Exchange = noExchange{}
 	}
-	return &Follower{config: config, cursors: make(map[Topic]Cursor)}
+	f := &Follower{config: config, cursors: make(map[Topic]Cursor), drawn: rand.Float64()}
+	f.place = findPlace(f.roster, f.seeds, config.Self)
+	return f
 }
 
 // Roster returns the newest roster that a source sent or UpdateRoster set, the zero Roster before the first.
@@ -92,10 +97,12 @@
 	defer f.mu.Unlock()
 	if roster.Generation >= f.roster.Generation {
 		f.roster = roster
+		f.place = findPlace(f.roster, f.seeds, f.config.Self)
 	}
 }
 
-// SetSeeds sets the addresses of the daemons to follow until a roster is known.
+// SetSeeds sets the addresses of the daemons to follow until a roster is known. A daemon that isn't one of them gives them some time to
+// pass on what they know before it reads the store.
 func (f *Follower) SetSeeds(addresses []string) {
 	seeds := make([]Member, 0, len(addresses))
 	for _, a := range addresses {
@@ -103,14 +110,26 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	isSeed := slices.ContainsFunc(seeds, func(m Member) bool { return m.Address == f.config.Self.Address })
+	if f.seeds == nil && len(seeds) > 0 && !isSeed {
+		f.storeFrom = f.config.Now().Add(seedWait/2 + rand.N(seedWait))
+	}
 	f.seeds = seeds
+	f.place = findPlace(f.roster, f.seeds, f.config.Self)
 }
 
+// seedWait is the mean time that seeds have for passing on what they know. They need a few calls to the store when all daemons start at
+// once. The actual time is random, so that daemons that get nothing don't all turn to the store at the same moment.
+const seedWait = 600 * time.Millisecond
+
+// loadWait is added while a source has answered but has not passed on what it knows: in a fleet that starts, that takes a few rounds.
+const loadWait = 1500 * time.Millisecond
+
 // IsReader reports whether this daemon is one of those that read the store on behalf of all.
 func (f *Follower) IsReader() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.isReader()
+	return f.place.reader
 }
 
 // ShouldReadStore reports whether this daemon should read the store itself: because it is a reader, or because no peer sent
@@ -118,17 +137,28 @@
 func (f *Follower) ShouldReadStore() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.isReader() || f.config.Now() > f.freshUntil
+	now := f.config.Now()
+	storeFrom := f.storeFrom
+	if storeFrom > 0 && f.freshUntil == 0 && f.heard.Load() {
+		storeFrom = storeFrom.Add(loadWait)
+	}
+	return f.place.reader || now > f.freshUntil.Add(f.patience()) && now >= storeFrom
 }
 
-// isReader is IsReader for callers that hold the lock.
-func (f *Follower) isReader() bool {
-	for i, m := range f.roster.Members {
-		if i < ReaderCount && m.Address == f.config.Self.Address {
-			return true
-		}
+const (
+	// maxPatience and patiencePerMember bound the time for which a daemon without a fresh source looks for another before it reads the store
+	// itself. The time is drawn anew for each daemon, so that those of a large fleet that lose their source at once find one that
+	// has read the store, instead of all reading it.
+	maxPatience       = time.Second
+	patiencePerMember = 5 * time.Millisecond
+)
+
+// patience returns that time, for callers that hold the lock. It is 0 before the first fresh source.
+func (f *Follower) patience() time.Duration {
+	if f.freshUntil == 0 {
+		return 0
 	}
-	return false
+	return time.Duration(f.drawn * float64(min(maxPatience, time.Duration(len(f.roster.Members))*patiencePerMember)))
 }
 
 // Run follows one source at a time until ctx ends.
@@ -152,56 +182,19 @@
 	return ctx.Err()
 }
 
-// nextSource returns the source to call next, false if there is none or this daemon needs none. It prefers readers of the same
-// failure domain, then other readers, then any daemon; within a rank, the order differs from daemon to daemon.
+// nextSource returns the source to call next, false if there is none or this daemon needs none.
 func (f *Follower) nextSource() (Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isReader() && f.ownFreshUntil() > f.config.Now() && !f.config.StoreFailing() {
+	if f.place.reader && f.ownFreshUntil() > f.config.Now() && !f.config.StoreFailing() {
 		// A reader whose own reads succeed needs no source.
 		first := f.roster.Members[0]
 		return first, f.config.Exchange.Pending() && first.Address != f.config.Self.Address
 	}
-	type ranked struct {
-		member Member
-		rank   int // 0 is called first
-		hash   uint64
-	}
-	var sources []ranked
-	candidates := f.roster.Members
-	if len(candidates) == 0 {
-		candidates = f.seeds
-	}
-	for i, m := range candidates {
-		if m.Address == f.config.Self.Address {
-			continue
-		}
-		r := ranked{member: m, hash: xxhash.Sum64String(m.Address + f.config.Self.Address)}
-		if i >= ReaderCount {
-			r.rank = 2
-		} else if m.Domain != f.config.Self.Domain {
-			r.rank = 1
-		}
-		sources = append(sources, r)
-	}
-	if len(sources) == 0 {
+	if len(f.place.sources) == 0 {
 		return Member{}, false
 	}
-	slices.SortFunc(sources, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.hash, b.hash)) })
-	return sources[sourceIndex(f.failures, len(sources))].member, true
-}
-
-// sourceIndex returns the index, among sources ranked with readers first, of the source to call after a number of failures.
-// Every second attempt goes to a reader, as readers are the first to recover after an outage of the store; the attempts in
-// between go through all sources.
-func sourceIndex(failures, sources int) int {
-	if sources <= 2*ReaderCount {
-		return failures % sources
-	}
-	if failures%2 == 0 {
-		return failures / 2 % min(ReaderCount, sources)
-	}
-	return (ReaderCount + failures/2) % sources
+	return f.place.sources[sourceIndex(f.failures, len(f.place.sources), f.place.preferred)], true
 }
 
 // ownFreshUntil returns until when the confirmations of all this daemon's replicas are within MaxAge.
@@ -225,13 +218,14 @@
 	sentAt := f.config.Now()
 	isNew := f.incarnation == "" || f.exchangedWith != f.incarnation
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, FollowRequest{
-		Source: f.incarnation, Cursors: f.cursors, MaxWait: Milliseconds(FollowWait.Milliseconds()), RosterDigest: f.Roster().digest(),
-		Exchange: f.config.Exchange.Request(isNew),
+		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), MaxWait: Milliseconds(FollowWait.Milliseconds()), RosterDigest: f.Roster().digest(),
+		Self: f.selfWithoutRoster(), Exchange: f.config.Exchange.Request(isNew),
 	}, &response)
 	if err != nil {
 		f.cause = err.Error()
 		return false
 	}
+	f.heard.Store(true)
 	if isNew || response.Source == f.incarnation {
 		f.exchangedWith = response.Source
 	}
@@ -242,9 +236,42 @@
 	if response.Exchange != nil {
 		f.config.Exchange.Learn(response.Exchange)
 	}
+	if len(response.Sources) > 0 {
+		f.redirectTo(response.Sources)
+		return true
+	}
 	return f.apply(response, sentAt)
 }
 
+// redirectTo makes the given daemons the sources until a roster is known.
+func (f *Follower) redirectTo(sources []Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.roster.Members) == 0 {
+		f.place = place{depth: 2, sources: sources, preferred: len(sources)}
+		f.failures = 0
+	}
+}
+
+// selfWithoutRoster returns this daemon while it knows no roster, and nil afterwards.
+func (f *Follower) selfWithoutRoster() *Member {
+	if len(f.Roster().Members) > 0 {
+		return nil
+	}
+	return &f.config.Self
+}
+
+// ends returns the offsets up to which this daemon's loaded replicas are complete.
+func (f *Follower) ends() map[Topic]crlid.Offset {
+	ends := make(map[Topic]crlid.Offset, len(f.config.Replicas))
+	for topic, replica := range f.config.Replicas {
+		if replica.Loaded() {
+			ends[topic] = replica.End()
+		}
+	}
+	return ends
+}
+
 // apply merges a response into the replicas and reports whether its confirmations are within MaxAge.
 //
 // The source replied no earlier than the sending of the call plus the time that it held the call. A confirmation dates from
@@ -257,6 +284,7 @@
 		}
 	}
 	freshUntil := crlclock.Instant(math.MaxInt64)
+	detour := f.detour()
 	for _, topic := range f.config.ApplyOrder {
 		replica, delta := f.config.Replicas[topic], response.Topics[topic]
 		if delta.Full {
@@ -267,10 +295,11 @@
 		f.cursors[topic] = delta.Cursor
 		confirmedAt := sentAt.Add(time.Duration(response.HeldFor-delta.ConfirmationAge) * time.Millisecond)
 		replica.Confirm(confirmedAt)
-		if age := f.config.Now().Sub(confirmedAt); age > f.config.MaxAge[topic] {
+		maxAge := f.config.MaxAge[topic] + detour
+		if age := f.config.Now().Sub(confirmedAt); age > maxAge {
 			f.cause = fmt.Sprintf("%s was last confirmed %s ago", topic, age.Round(time.Millisecond))
 		}
-		freshUntil = min(freshUntil, confirmedAt.Add(f.config.MaxAge[topic]))
+		freshUntil = min(freshUntil, confirmedAt.Add(maxAge))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -278,6 +307,13 @@
 	return freshUntil > f.config.Now()
 }
 
+// detour returns how much older than a direct follower's this daemon's confirmations may be, as they come over further daemons.
+func (f *Follower) detour() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(max(f.place.depth-1, 0)) * FollowWait
+}
+
 // Self returns this daemon as a member of the roster.
 func (f *Follower) Self() Member { return f.config.Self }
 
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -19,20 +19,24 @@
 
 // FollowRequest is a follower's request for changes; the call is held until there are any.
 type FollowRequest struct {
-	Source       crlid.Incarnation `json:"source"` // source whose replicas the cursors refer to; another incarnation ignores the cursors
-	Cursors      map[Topic]Cursor  `json:"cursors"`
-	MaxWait      Milliseconds      `json:"wait-ms"`            // limit on how long the call is held when nothing changed
-	RosterDigest uint64            `json:"roster"`             // digest of the roster that the follower has
-	Exchange     json.RawMessage   `json:"exchange,omitempty"` // message of the follower's Exchange
+	Source       crlid.Incarnation      `json:"source"` // source whose replicas the cursors refer to; another incarnation ignores the cursors
+	Cursors      map[Topic]Cursor       `json:"cursors"`
+	Ends         map[Topic]crlid.Offset `json:"ends,omitempty"`     // offsets up to which the follower's replicas are complete; used if the cursors aren't
+	MaxWait      Milliseconds           `json:"wait-ms"`            // limit on how long the call is held when nothing changed
+	Self         *Member                `json:"self,omitempty"`     // the follower, if it knows no roster
+	RosterDigest uint64                 `json:"roster"`             // digest of the roster that the follower has
+	Exchange     json.RawMessage        `json:"exchange,omitempty"` // message of the follower's Exchange
 }
 
 // FollowResponse is the reply to a FollowRequest.
 type FollowResponse struct {
-	Source   crlid.Incarnation    `json:"source"`
-	Topics   map[Topic]TopicDelta `json:"topics"`
-	HeldFor  Milliseconds         `json:"held-ms"`            // how long the source held the call
-	Roster   *Roster              `json:"roster,omitempty"`   // set when the digest of the source's roster differs from the request's
-	Exchange json.RawMessage      `json:"exchange,omitempty"` // reply of the source's Exchange
+	Source  crlid.Incarnation    `json:"source"`
+	Topics  map[Topic]TopicDelta `json:"topics"`
+	HeldFor Milliseconds         `json:"held-ms"` // how long the source held the call
+	// Sources is set, and the response has nothing else, if the follower should call these daemons instead, the first one first.
+	Sources  []Member        `json:"sources,omitempty"`
+	Roster   *Roster         `json:"roster,omitempty"`   // set when the digest of the source's roster differs from the request's
+	Exchange json.RawMessage `json:"exchange,omitempty"` // reply of the source's Exchange
 }
 
 // TopicDelta holds the changes of one replica since the follower's cursor.
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -37,6 +37,7 @@
 	records        map[string]versionedRecord
 	lastChange     Cursor
 	end            crlid.Offset // offset after the last record that was read
+	completeFrom   crlid.Offset // offset from which each change of the topic is known, also the deletion of keys that were never held
 	confirmedAt    crlclock.Instant
 	uncertainUntil crlclock.Instant // until when keys that expired in the latest outage may reappear
 	loaded         bool             // whether every key of the topic was read at least once
@@ -78,6 +79,9 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b crlplatform.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	if end >= r.end {
+		r.completeFrom = end
+	}
 	r.apply(all, end)
 	r.loaded = true
 }
@@ -158,22 +162,25 @@
 	return r.changed
 }
 
-// delta holds the changes after a follower's cursor, and the replica's state at that moment.
+// delta holds the changes for a follower, and the replica's state at that moment.
 type delta struct {
 	records     []crlplatform.KeyedRecord
+	full        bool // records holds every key
 	cursor      Cursor
 	end         crlid.Offset
 	confirmedAt crlclock.Instant
 	loaded      bool
 }
 
-// since returns the records that changed after a cursor, in the order of the topic.
-func (r *Replica) since(after Cursor) delta {
+// since returns the records that changed after a follower's cursor, in the order of the topic. For a follower without a cursor, these are the
+// records from the offset end on, up to which its replica is complete, or all records if it has none or deletions since may be unknown.
+func (r *Replica) since(after Cursor, end crlid.Offset) delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := delta{cursor: r.lastChange, end: r.end, confirmedAt: r.confirmedAt, loaded: r.loaded}
+	d.full = after == 0 && (end == crlid.NoOffset || end < r.completeFrom)
 	for _, held := range r.records {
-		if held.change > after {
+		if held.change > after && (d.full || after > 0 || held.record.Offset >= end) {
 			d.records = append(d.records, held.record)
 		}
 	}
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -13,6 +14,7 @@
 
 // ServerConfig configures a Server.
 type ServerConfig struct {
+	Address  string            // of this daemon, as in the roster
 	Self     crlid.Incarnation // incarnation of this daemon, sent to followers as the source of their cursors
 	Replicas map[Topic]*Replica
 	Roster   func() Roster
@@ -38,6 +40,9 @@
 		request.Cursors = nil
 	}
 	receivedAt := s.config.Now()
+	if sources := s.redirect(request); sources != nil {
+		return FollowResponse{Source: s.config.Self, Sources: sources}, nil
+	}
 	reply := s.config.Exchange.Reply(request.Exchange)
 	if s.loaded() {
 		s.wait(ctx, request)
@@ -47,8 +52,11 @@
 	// The held time is rounded down and ages are rounded up, so that no confirmation looks newer than it is.
 	response.HeldFor = Milliseconds(answeredAt.Sub(receivedAt).Milliseconds())
 	for topic, replica := range s.config.Replicas {
-		after := request.Cursors[topic]
-		d := replica.since(after)
+		after, end := request.Cursors[topic], crlid.NoOffset
+		if known, ok := request.Ends[topic]; ok && after == 0 {
+			end = known
+		}
+		d := replica.since(after, end)
 		if !d.loaded {
 			response.Topics[topic] = TopicDelta{ConfirmationAge: -1}
 			continue
@@ -58,7 +66,7 @@
 			age = Milliseconds(answeredAt.Sub(d.confirmedAt).Milliseconds() + 1)
 		}
 		response.Topics[topic] = TopicDelta{
-			Full: after == 0, Records: d.records, Cursor: d.cursor, End: d.end, ConfirmationAge: age,
+			Full: d.full, Records: d.records, Cursor: d.cursor, End: d.end, ConfirmationAge: age,
 		}
 	}
 	if roster := s.config.Roster(); roster.digest() != request.RosterDigest {
@@ -67,6 +75,24 @@
 	return response, nil
 }
 
+// redirectSources is the number of sources that a follower is referred to.
+const redirectSources = 6
+
+// redirect returns the daemons that a follower without a roster should call instead of this one, nil if it may call this one. Seeds would
+// otherwise feed all daemons that start at the same time.
+func (s *Server) redirect(request FollowRequest) []Member {
+	roster := s.config.Roster()
+	if request.Self == nil || len(roster.Members) <= maxFlatMembers {
+		return nil
+	}
+	p := findPlace(roster, nil, *request.Self)
+	sources := p.sources[:min(redirectSources, len(p.sources))]
+	if p.reader || slices.ContainsFunc(sources, func(m Member) bool { return m.Address == s.config.Address }) {
+		return nil
+	}
+	return sources
+}
+
 // loaded reports whether all replicas are loaded.
 func (s *Server) loaded() bool {
 	for _, replica := range s.config.Replicas {
