Share the append budget among all streams

Cause: configuration and roster each had the tenth that all streams beside claims and bills have together, so the shares added up to 110%. Change: five percent each.

--- a/crldaemon/journal.go
+++ b/crldaemon/journal.go
@@ -27,11 +27,12 @@
 	forwardWindow     = 4 * crljournal.MinWindow // shortest time between two batches that a daemon sends to an appender
 )
 
-// Shares of the append budget of the settings, in percent. Each stream that isn't named gets otherPercent.
+// Shares of the append budget of the settings, in percent. The streams that aren't named, configuration and roster, have otherPercent
+// each.
 const (
 	claimPercent   = 50
 	billPercent    = 40
-	otherPercent   = 10
+	otherPercent   = 5
 	hundredPercent = 100
 )
 
