Check cold limits from the first boot of a server on

Cause: the fake engine marked every run as one after a reboot, so that the check of cold limits passed over the first moments of every boot. Change: only boots after the first count as reboots. The package page of crlrelay is repaired besides.

--- a/crlfake/engine.go
+++ b/crlfake/engine.go
@@ -265,14 +265,14 @@
 }
 
 // startStream counts a stream that starts or resumes in the load of the engine's present boot. It returns that load and the
-// run to record in the history. Every run is marked as Rebooted, because boots is 1 from the first boot on.
+// run to record in the history.
 func (e *Engine) startStream(stream *engineStream) (*loadState, Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	streams, cold, overload := e.load.startStream(stream.priority, time.Now())
 	return e.load, Run{
 		Server: e.config.Server, Request: stream.request, Version: stream.version,
-		OpenRequests: streams, Cold: cold, Overload: overload, Booted: e.load.booted, Rebooted: e.boots > 0,
+		OpenRequests: streams, Cold: cold, Overload: overload, Booted: e.load.booted, Rebooted: e.boots > 1,
 	}
 }
 
--- a/crlfake/history.go
+++ b/crlfake/history.go
@@ -20,7 +20,7 @@
 	OpenRequests     int           `json:"open"` // requests on the server, including this one
 	Cold             bool          `json:"cold"`
 	Booted           time.Time     `json:"booted"`   // when the server booted last
-	Rebooted         bool          `json:"rebooted"` // whether a boot was counted; Engine counts its first boot too and always sets it
+	Rebooted         bool          `json:"rebooted"` // whether that was not the server's first boot
 	// Overload reports whether this request exceeded the limit of a cold server.
 	Overload bool       `json:"overload,omitempty"`
 	Fence    crlid.Term `json:"fence,omitempty"` // set by no fake
--- a/crlrelay/doc.go
+++ b/crlrelay/doc.go
@@ -3,11 +3,10 @@
 //
 // A [Replica] holds the newest record of each key of one topic and the latest moment at which it was confirmed to be
 // complete. The first [ReaderCount] daemons of the [Roster], the readers, feed their replicas from the store. Each other
-// daemon runs a [Follower], which copies the replicas of a source: a reader if possible, another daemon otherwise. In a
-// large fleet most follow one of a few daemons of their failure domain, which follow the readers. A follower
-// copies a source
-// does so by long-polling calls, which a [Server] at the source answers. The load on the store is therefore independent
-// of the number of daemons, and a daemon that loses only its connection to the store keeps up to date.
+// daemon runs a [Follower], which copies the replicas of a source by long-polling calls, which a [Server] at the source
+// answers. In a small fleet the source is a reader. In a large one most daemons follow one of a few of their failure
+// domain, which follow the readers. Any daemon may be a source if these fail. The load on the store is therefore
+// independent of the number of daemons, and a daemon that loses only its connection to the store keeps up to date.
 //
 // When the confirmations that a follower receives grow too old, it moves on to another source, and
 // [Follower.ShouldReadStore] tells the daemon to read the store itself until a source is fresh again. Clocks of daemons
