Call out of the follower without its lock

Cause: Follower.nextSource held its lock while it asked the exchange for pending messages, the replicas for their age and the router for failing reads. The tracker of roll-outs, which the exchange asks, calls Follower.Count with its own lock held. Change: these are called before the lock is taken. Evidence: TestFollowerHoldsNoLockWhenItCalls reports a deadlock before and passes.

--- a/crlrelay/exchange_test.go
+++ b/crlrelay/exchange_test.go
@@ -119,3 +119,37 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// callingExchange calls the follower when it is asked for messages, as the tracker of roll-outs does with its own lock held.
+type callingExchange struct {
+	recordedExchange
+
+	follower *Follower
+}
+
+func (e *callingExchange) Pending() bool { return e.follower.Count() > 0 }
+
+// TestFollowerHoldsNoLockWhenItCalls guards against a deadlock that CI found once: a follower asked for pending messages with its lock held,
+// while the tracker of roll-outs, with its own lock held, asked it for the number of daemons.
+func TestFollowerHoldsNoLockWhenItCalls(t *testing.T) {
+	now := crlclock.NewMonotonic()
+	d := newDaemon("b1", now)
+	d.replica.Replace(nil, 0)
+	d.replica.Confirm(now())
+	f := newFollower(d, newNetwork(nil), "b", "a", "b")
+	f.config.Exchange = &callingExchange{follower: f}
+	f.config.StoreFailing = func() bool { return f.Count() == 0 }
+	done := make(chan bool, 1)
+	go func() {
+		_, ok := f.nextSource()
+		done <- ok
+	}()
+	select {
+	case ok := <-done:
+		if !ok {
+			t.Error("the second reader has messages but no source")
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("deadlock")
+	}
+}
--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -184,12 +184,15 @@
 
 // nextSource returns the source to call next, false if there is none or this daemon needs none.
 func (f *Follower) nextSource() (Member, bool) {
+	// These take locks whose holders may call the exported methods of f, so f.mu must not be held.
+	upToDate := f.ownFreshUntil() > f.config.Now() && !f.config.StoreFailing()
+	pending := f.config.Exchange.Pending()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.place.reader && f.ownFreshUntil() > f.config.Now() && !f.config.StoreFailing() {
+	if f.place.reader && upToDate {
 		// A reader whose own reads succeed needs no source.
 		first := f.roster.Members[0]
-		return first, f.config.Exchange.Pending() && first.Address != f.config.Self.Address
+		return first, pending && first.Address != f.config.Self.Address
 	}
 	if len(f.place.sources) == 0 {
 		return Member{}, false
