Log the evidence on which the status of a roll-out rests

A line that says completed does not tell whether the target had answered well or had hardly answered. The line of a written status now has the evidence against the target and the number of its answers that were compared.

--- a/crlrollout/assessment.go
+++ b/crlrollout/assessment.go
@@ -18,6 +18,7 @@
 	random        func() float64 // returns random numbers in [0, 1)
 	classes       map[classKey]*classAssessment
 	targetAnswers int // number of answers of the target with a time to the first byte
+	ranked        int // those of targetAnswers that were ranked among answers of other versions
 }
 
 const (
@@ -106,7 +107,9 @@
 	window := windows[key.measure()]
 	c.dropOld(now.Add(-window.before - window.after))
 	for len(c.unranked) > 0 && now.Sub(c.unranked[0].at) >= window.after {
-		c.rank(c.unranked[0], window, a.random())
+		if c.rank(c.unranked[0], window, a.random()) && key == key.allClasses() && key.measure() == MeasureFirstByte {
+			a.ranked++
+		}
 		c.unranked = c.unranked[1:]
 		c.evidence = c.growthOf(servers)
 	}
@@ -130,8 +133,8 @@
 }
 
 // rank ranks a value of the target among those of other versions and updates the wagers. tie, from 0 to 1, is the rank among equal
-// values. A value whose window has no value of another version at its end is left out, as the load may have changed.
-func (c *classAssessment) rank(value timedSample, window window, tie float64) {
+// values. A value whose window has no value of another version at its end is left out, as the load may have changed; ok is false then.
+func (c *classAssessment) rank(value timedSample, window window, tie float64) (ok bool) {
 	bucket := max(value.sample.bucket()-allowedBuckets[value.sample.key().measure()], 0)
 	worse, equal, all, later := 0.0, 0.0, 0.0, 0
 	for _, old := range c.old {
@@ -151,7 +154,7 @@
 		}
 	}
 	if all < minOldValues || window.after > 0 && later == 0 {
-		return
+		return false
 	}
 	p := (worse + (1-tie)*(equal+1)) / (all + 1)
 	for i, exponent := range wagerExponents {
@@ -163,6 +166,7 @@
 			}
 		}
 	}
+	return true
 }
 
 // growthOf returns the highest logarithm of the growth of a wager. If the target has several servers, a wager counts only as far as it has
--- a/crlrollout/tracker.go
+++ b/crlrollout/tracker.go
@@ -40,6 +40,13 @@
 	Urgent  bool         // set by Due if other daemons may not know yet that this status is due
 }
 
+// DueStatus is a status to write, with what this daemon knows about the target.
+type DueStatus struct {
+	Status
+	Evidence float64 // logarithm of how much the answers speak against the target
+	Answers  int     // answers of the target that were compared with those of other versions
+}
+
 const (
 	// pinnedFraction is the part of a roll-out's time that must pass before sessions may change their version.
 	pinnedFraction = 0.5
@@ -327,14 +334,15 @@
 }
 
 // Due returns a status to write for each roll-out whose state differs from the recorded one.
-func (t *Tracker) Due(now crlclock.Instant, capacity Capacity) []Status {
+func (t *Tracker) Due(now crlclock.Instant, capacity Capacity) []DueStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var due []Status
+	var due []DueStatus
 	for _, r := range t.rollouts {
 		t.judge(r, now)
 		if state := r.dueState(now, capacity); state != r.status.State {
-			due = append(due, Status{Service: r.order.Service, Target: r.order.Target, State: state, Urgent: r.verdict == verdictReached})
+			status := Status{Service: r.order.Service, Target: r.order.Target, State: state, Urgent: r.verdict == verdictReached}
+			due = append(due, DueStatus{Status: status, Evidence: r.assessment.evidence(), Answers: r.assessment.ranked})
 		}
 	}
 	return due
--- a/crlrouter/status.go
+++ b/crlrouter/status.go
@@ -67,8 +67,8 @@
 
 // write appends a status on the condition that the topic still ends where the replica does. The store thereby also refuses
 // a write that arrives late.
-func (p *statusReporter) write(ctx context.Context, status crlrollout.Status) {
-	record, err := p.codec.EncodeStatus(status)
+func (p *statusReporter) write(ctx context.Context, status crlrollout.DueStatus) {
+	record, err := p.codec.EncodeStatus(status.Status)
 	if err != nil {
 		p.logger.Event(EventBadRecord, slog.String("service", string(status.Service)), slog.String("cause", err.Error()))
 		return
@@ -86,5 +86,6 @@
 		outcome, cause = "unknown", err.Error()
 	}
 	p.logger.Event(EventStatus, slog.String("service", string(status.Service)), slog.String("target", string(status.Target)),
-		slog.String("state", status.State.String()), slog.Int64("at", int64(end)), slog.String("outcome", outcome), slog.String("cause", cause))
+		slog.String("state", status.State.String()), slog.Int64("at", int64(end)), slog.String("outcome", outcome), slog.String("cause", cause),
+		slog.Float64("evidence", status.Evidence), slog.Int("answers", status.Answers))
 }
