--- a/crlrollout/assessment_test.go
+++ b/crlrollout/assessment_test.go
@@ -34,14 +34,26 @@
 	coldTarget        float64       // factor by which the first bytes of the target's answers come later, 0 for 1
 	burst             time.Duration // time from the order at which all times begin to double each second, up to 16 times, 0 for never
 	alone             bool          // the daemons don't report to each other
+	restart           time.Duration // time from the order at which all daemons are killed and start again, 0 for never
+	classes           []requestClass
+	plain             bool // answers are not streams
+}
+
+// requestClass is a part of the requests of a simulated service.
+type requestClass struct {
+	name        Class
+	share       float64
+	failureRate float64
+	runsOnce    bool // its requests must not run twice
 }
 
 // simulation is a fleet in a roll-out whose daemons report to two of them.
 type simulation struct {
 	conditions
-	fault    fault
-	random   *rand.Rand
-	trackers []*Tracker
+	fault     fault
+	random    *rand.Rand
+	trackers  []*Tracker
+	reporters []*Reporter
 }
 
 const (
@@ -51,15 +63,39 @@
 
 func newSimulation(c conditions, f fault, seed uint64) *simulation {
 	s := &simulation{conditions: c, fault: f, random: rand.New(rand.NewPCG(seed, 1))}
-	for n := range c.daemons {
+	s.startDaemons(start, "")
+	return s
+}
+
+// startDaemons replaces all daemons by new ones that know the order, and its status if they started after it. suffix tells incarnations apart.
+func (s *simulation) startDaemons(now crlclock.Instant, suffix string) {
+	s.trackers, s.reporters = nil, nil
+	for n := range s.daemons {
 		tracker := NewTracker(Config{
-			Self: crlid.Incarnation(fmt.Sprint(n)), Daemons: func() int { return c.daemons }, Exposure: c.exposure, ExposureSlack: 30,
-			Alone: func() bool { return c.alone }, Random: s.random.Float64,
+			Self: crlid.Incarnation(fmt.Sprint(n) + suffix), Daemons: func() int { return s.daemons }, Exposure: s.exposure, ExposureSlack: 30,
+			Alone: func() bool { return s.alone }, Random: s.random.Float64,
 		})
-		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, false, start)
-		s.trackers = append(s.trackers, tracker)
+		restarted := now > start
+		if restarted {
+			tracker.RecordStatus(Status{Service: service, Target: "v2", State: StateRunning, Offset: 1})
+		}
+		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, restarted, now)
+		s.trackers, s.reporters = append(s.trackers, tracker), append(s.reporters, NewReporter(tracker))
 	}
-	return s
+}
+
+// drawClass returns the class of a request.
+func (s *simulation) drawClass() requestClass {
+	if len(s.classes) == 0 {
+		return requestClass{name: Class(fmt.Sprint(s.random.IntN(simulatedClasses))), failureRate: s.failureRate}
+	}
+	random := s.random.Float64()
+	for _, class := range s.classes {
+		if random -= class.share; random < 0 {
+			return class
+		}
+	}
+	return s.classes[0]
 }
 
 // result is the outcome of a simulation.
@@ -71,18 +107,22 @@
 	completed     time.Duration // when the first daemon wanted to complete the roll-out, 0 for never
 }
 
-// run simulates the roll-out until its deadline, and notes when the given number of bad answers is reached. Daemons report every half second, the first to nobody, the second to the
-// first and the others to one of these two.
+// run simulates the roll-out until its deadline; see runUntil.
 func (s *simulation) run(countedBadAnswers int) result {
+	return s.runUntil(orderDuration, countedBadAnswers)
+}
+
+// runUntil simulates the roll-out until a time from its order, and notes when the given number of bad answers is reached. Daemons report
+// every half second, the first to nobody, the second to the first and the others to one of these two.
+func (s *simulation) runUntil(end time.Duration, countedBadAnswers int) result {
 	const tick = 50 * time.Millisecond
-	reporters := make([]*Reporter, s.daemons)
-	for n, tracker := range s.trackers {
-		reporters[n] = NewReporter(tracker)
-	}
 	var r result
 	capacity := func(crlid.Service, crlid.Version) (int, int) { return s.servers, s.servers }
-	for elapsed := time.Duration(0); elapsed < orderDuration; elapsed += tick {
+	for elapsed := time.Duration(0); elapsed < end; elapsed += tick {
 		now := start.Add(elapsed)
+		if s.restart > 0 && elapsed == s.restart {
+			s.startDaemons(now, " restarted")
+		}
 		for _, due := range s.trackers[0].Due(now, capacity) {
 			if due.State == StateCompleted {
 				r.completed = elapsed
@@ -101,13 +141,13 @@
 			}
 			// The daemons' reports are spread over the half second.
 			if !s.alone && n >= 1 && (elapsed/tick+time.Duration(n))%10 == 0 {
-				if report, ok := reporters[n].Next(); ok {
+				if report, ok := s.reporters[n].Next(); ok {
 					source := 0 // of the second daemon
 					if n >= 2 {
 						source = n % 2
 					}
 					reply, _ := s.trackers[source].Receive(report, now)
-					reporters[n].Learn(reply)
+					s.reporters[n].Learn(reply)
 				}
 			}
 		}
@@ -131,10 +171,10 @@
 
 // answer simulates one answer and its observations.
 func (s *simulation) answer(tracker *Tracker, plan Plan, elapsed time.Duration, now crlclock.Instant, r *result) {
-	class := Class(fmt.Sprint(s.random.IntN(simulatedClasses)))
+	class := s.drawClass()
 	version := crlid.Version("v1")
 	server := s.random.IntN(s.servers)
-	onTarget := s.random.Float64() < plan.Share
+	onTarget := s.random.Float64() < plan.Share || plan.LastStep && class.runsOnce
 	// Servers of the old version have more requests at a time, so that their answers are slower and differ more, as was measured.
 	load := 1 + s.random.ExpFloat64()
 	if onTarget {
@@ -144,7 +184,7 @@
 	if s.burst > 0 && elapsed > s.burst {
 		first *= min(math.Exp2((elapsed - s.burst).Seconds()), 16)
 	}
-	failed := s.random.Float64() < s.failureRate
+	failed := s.random.Float64() < class.failureRate
 	if onTarget && !plan.TargetBarred {
 		version = "v2"
 		r.targetAnswers++
@@ -154,7 +194,7 @@
 			factor = 8
 		}
 		f := s.fault
-		if s.random.Float64() < f.share && (f.class == "" || f.class == class) && elapsed >= f.from && plan.Share >= f.minimum {
+		if s.random.Float64() < f.share && (f.class == "" || f.class == class.name) && elapsed >= f.from && plan.Share >= f.minimum {
 			r.badAnswers++
 			if f.slow > 0 {
 				factor = f.slow
@@ -165,13 +205,16 @@
 		first, pace = first*factor, pace*factor
 	}
 	values := map[Measure]float64{MeasureFailure: 0, MeasureFirstByte: first, MeasurePace: pace, MeasureDuration: first + paceEvents*pace}
+	if s.plain {
+		values = map[Measure]float64{MeasureFailure: 0, MeasureFirstByte: first}
+	}
 	if failed {
 		values = map[Measure]float64{MeasureFailure: 1}
 	}
 	for measure := range measureCount {
 		if value, ok := values[measure]; ok {
 			tracker.Observe(Observation{
-				Service: service, Version: version, Group: server % ServerGroups, Class: class, Measure: measure, Value: value,
+				Service: service, Version: version, Group: server % ServerGroups, Class: class.name, Measure: measure, Value: value,
 			}, now)
 		}
 	}
@@ -227,6 +270,51 @@
 	}
 }
 
+// smallService is a plain service with few requests and servers.
+var smallService = conditions{
+	daemons: 9, requestsPerSecond: 42, servers: 3, exposure: 0.15, plain: true,
+	classes: []requestClass{{name: "merge", share: 0.71, failureRate: 0.004, runsOnce: true}, {name: "page", share: 0.29, failureRate: 0.14}},
+}
+
+// TestBadTargetOfASmallServiceIsNotCompleted guards against a bad target that is completed because its few answers, or those since all
+// daemons were killed, did not show its fault: old servers stop at the completion, so that nothing else is left to use.
+func TestBadTargetOfASmallServiceIsNotCompleted(t *testing.T) {
+	const (
+		countedBadAnswers = 50
+		maxUse            = 4 * time.Second // after the 50th bad answer; see TestBadTargetStopsInTime
+		runs              = 40
+		maxMissed         = 1 // chance decides which answers are bad
+	)
+	for _, f := range []fault{
+		{name: "errors", share: 0.5},
+		{name: "few errors", share: 0.3},
+		{name: "slow", share: 0.5, slow: 8},
+		{name: "one class", share: 0.5, class: "page"},
+		{name: "one class slow", share: 0.5, class: "page", slow: 8},
+		{name: "late", share: 0.5, from: 8 * time.Second},
+	} {
+		for _, restart := range []time.Duration{0, 6 * time.Second, 12 * time.Second, 18 * time.Second} {
+			t.Run(fmt.Sprintf("%s/restart after %s", f.name, restart), func(t *testing.T) {
+				missed := 0
+				for seed := range uint64(runs) {
+					c := smallService
+					c.restart = restart
+					r := newSimulation(c, f, seed).runUntil(3*orderDuration, countedBadAnswers)
+					if r.stopped > 0 && (r.counted == 0 || r.stopped-r.counted <= maxUse) {
+						continue
+					}
+					missed++
+					t.Logf("seed %d: %d bad of %d answers, the 50th bad one after %s, stopped after %s, completed after %s",
+						seed, r.badAnswers, r.targetAnswers, r.counted, r.stopped, r.completed)
+				}
+				if missed > maxMissed {
+					t.Errorf("not stopped in time in %d of %d runs, allowed are %d", missed, runs, maxMissed)
+				}
+			})
+		}
+	}
+}
+
 // TestGoodTargetIsNotMarkedBad guards against a good target that is rolled back for what is wrong around it: slow servers, failures of
 // the whole service, a burst, empty caches.
 func TestGoodTargetIsNotMarkedBad(t *testing.T) {
