Complete a roll-out only once its target's answers suffice

Callers of a service with few requests got a bad version for good: it was completed when its time came, as its few answers, or those since a restart of all daemons, spoke against it too little. Cause: a completion took the lack of evidence for evidence of a good version. Old servers stop at the completion, so nothing is left to go back to.

The daemon at which all samples meet decides; a follower without its reply waits. A verdict at the deadline on weaker evidence is no longer needed and gone. What is late has a line, rollout-delayed.

Simulations run in parallel.

--- a/crlrollout/assessment_test.go
+++ b/crlrollout/assessment_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,13 +142,13 @@
 			}
 			// The daemons' reports are spread over the half second.
 			if !s.alone && n >= 1 && (elapsed/tick+time.Duration(n))%10 == 0 {
-				if report, ok := s.reporters[n].Next(); ok {
+				if report, ok := s.reporters[n].Next(now); ok {
 					source := 0 // of the second daemon
 					if n >= 2 {
 						source = n % 2
 					}
 					reply, _ := s.trackers[source].Receive(report, now)
-					s.reporters[n].Learn(reply)
+					s.reporters[n].Learn(reply, now)
 				}
 			}
 		}
@@ -231,6 +232,7 @@
 // TestBadTargetStopsInTime guards against a target that still gets requests 5 s after its 50th bad answer, or that is completed: a daemon
 // that judged it on its own requests alone saw too few of them, and one that was only slow was not seen at all.
 func TestBadTargetStopsInTime(t *testing.T) {
+	t.Parallel()
 	// Targets are used for at most 5 s after their 50th bad answer. A second of that is for the way of the verdict and for answers that
 	// are open, which the simulation leaves out.
 	const (
@@ -252,6 +254,7 @@
 	} {
 		for _, c := range sizes {
 			t.Run(fmt.Sprintf("%s/%d", f.name, c.daemons), func(t *testing.T) {
+				t.Parallel()
 				detected := 0
 				for seed := range uint64(runs) {
 					r := newSimulation(c, f, seed).run(countedBadAnswers)
@@ -279,6 +282,7 @@
 // TestBadTargetOfASmallServiceIsNotCompleted guards against a bad target that is completed because its few answers, or those since all
 // daemons were killed, did not show its fault: old servers stop at the completion, so that nothing else is left to use.
 func TestBadTargetOfASmallServiceIsNotCompleted(t *testing.T) {
+	t.Parallel()
 	const (
 		countedBadAnswers = 50
 		maxUse            = 4 * time.Second // after the 50th bad answer; see TestBadTargetStopsInTime
@@ -295,6 +299,7 @@
 	} {
 		for _, restart := range []time.Duration{0, 6 * time.Second, 12 * time.Second, 18 * time.Second} {
 			t.Run(fmt.Sprintf("%s/restart after %s", f.name, restart), func(t *testing.T) {
+				t.Parallel()
 				missed := 0
 				for seed := range uint64(runs) {
 					c := smallService
@@ -315,36 +320,118 @@
 	}
 }
 
+// TestGoodTargetIsCompleted checks that a target without a fault is completed by the deadline if the service has enough requests to show
+// that, and otherwise before as much time again has passed.
+func TestGoodTargetIsCompleted(t *testing.T) {
+	t.Parallel()
+	const (
+		runs             = 20
+		minBusyInTime    = 16  // of runs, with 45 requests a second and more
+		latest           = 2.0 // times the time of the roll-out
+		minCompleted     = 19  // of runs, as one in a hundred may be marked bad
+		requestsPerClass = 9.0 // a second, from which a service counts as busy
+		classes          = 5   // of a service that states none
+		deadline         = orderDuration
+	)
+	for _, c := range append([]conditions{smallService}, sizes...) {
+		t.Run(fmt.Sprint(c.daemons), func(t *testing.T) {
+			t.Parallel()
+			inTime, completed := 0, 0
+			for seed := range uint64(runs) {
+				r := newSimulation(c, fault{}, seed).runUntil(time.Duration((latest+0.1)*float64(deadline)), 1)
+				if r.completed > 0 {
+					completed++
+				}
+				if r.completed > 0 && r.completed <= deadline {
+					inTime++
+				}
+			}
+			busy := len(c.classes) == 0 && c.requestsPerSecond/classes >= requestsPerClass
+			if completed < minCompleted || busy && inTime < minBusyInTime {
+				t.Errorf("%d daemons, %.0f requests a second: %d of %d completed, %d in time", c.daemons, c.requestsPerSecond, completed, runs, inTime)
+			}
+		})
+	}
+}
+
+// TestDaemonDoesntCompleteByItsOwnAnswers guards against a daemon with few answers that completes a target which the daemon at which all
+// answers meet does not call clear, and against one that completes it before the first reply.
+func TestDaemonDoesntCompleteByItsOwnAnswers(t *testing.T) {
+	late := start.Add(orderDuration * 99 / 100)
+	newDaemon := func(self crlid.Incarnation) *Tracker {
+		tracker := NewTracker(Config{Self: self, Daemons: func() int { return 9 }, Random: func() float64 { return 0.5 }})
+		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, false, start)
+		return tracker
+	}
+	state := func(tracker *Tracker) State { return tracker.Due(late, equalCapacity)[0].State }
+	source, follower := newDaemon("source"), newDaemon("follower")
+	for n := range 100 {
+		observe(source, "v1", n, false)
+	}
+	reporter := NewReporter(follower)
+	report, _ := reporter.Next(late)
+	if got := state(follower); got != StateRunning {
+		t.Errorf("before the first reply the state is %v, want running", got)
+	}
+	reply, _ := source.Receive(report, late)
+	reporter.Learn(reply, late)
+	if got := state(follower); got != StateRunning {
+		t.Errorf("while the target has not answered the state is %v, want running", got)
+	}
+	for n := range 20 {
+		observe(source, "v2", n, false)
+	}
+	report, _ = reporter.Next(late)
+	reply, _ = source.Receive(report, late)
+	reporter.Learn(reply, late)
+	if got := state(follower); got != StateRunning {
+		t.Errorf("at once after the target became clear the state is %v, want running as the last step has only begun", got)
+	}
+	late = start.Add(orderDuration * 103 / 100)
+	report, _ = reporter.Next(late)
+	reply, _ = source.Receive(report, late)
+	reporter.Learn(reply, late)
+	if got := state(follower); got != StateCompleted {
+		t.Errorf("once the target is clear the state is %v, want completed", got)
+	}
+}
+
 // TestGoodTargetIsNotMarkedBad guards against a good target that is rolled back for what is wrong around it: slow servers, failures of
 // the whole service, a burst, empty caches.
 func TestGoodTargetIsNotMarkedBad(t *testing.T) {
+	t.Parallel()
 	// maxWrongFraction is the stated probability of a wrong verdict in a roll-out.
 	const maxWrongFraction = 0.01
-	runs, wrong := 0, 0
-	for i, c := range []struct {
-		name   string
-		change func(*conditions)
-	}{
-		{"calm", func(*conditions) {}},
-		{"failures of both versions", func(c *conditions) { c.failureRate = 0.2 }},
-		{"slow server of the target", func(c *conditions) { c.slowServers = 1 }},
-		{"cold target", func(c *conditions) { c.coldTarget = 1.8 }},
-		{"burst", func(c *conditions) { c.burst = 12 * time.Second }},
-		{"burst at the end", func(c *conditions) { c.burst = 20 * time.Second }},
-	} {
-		for _, size := range sizes {
-			c.change(&size)
-			for seed := range uint64(size.goodRuns) {
-				runs++
-				if r := newSimulation(size, fault{}, seed+uint64(1000*i)).run(1); r.stopped > 0 {
-					wrong++
-					t.Logf("%s, %d daemons, seed %d: a good target is barred after %s and %d answers", c.name, size.daemons, seed, r.stopped, r.targetAnswers)
-				}
+	var runs, wrong atomic.Int64
+	t.Run("roll-outs", func(t *testing.T) {
+		for i, c := range []struct {
+			name   string
+			change func(*conditions)
+		}{
+			{"calm", func(*conditions) {}},
+			{"failures of both versions", func(c *conditions) { c.failureRate = 0.2 }},
+			{"slow server of the target", func(c *conditions) { c.slowServers = 1 }},
+			{"cold target", func(c *conditions) { c.coldTarget = 1.8 }},
+			{"burst", func(c *conditions) { c.burst = 12 * time.Second }},
+			{"burst at the end", func(c *conditions) { c.burst = 20 * time.Second }},
+		} {
+			for _, size := range sizes {
+				c.change(&size)
+				t.Run(fmt.Sprintf("%s/%d", c.name, size.daemons), func(t *testing.T) {
+					t.Parallel()
+					for seed := range uint64(size.goodRuns) {
+						runs.Add(1)
+						if r := newSimulation(size, fault{}, seed+uint64(1000*i)).runUntil(3*orderDuration, 1); r.stopped > 0 {
+							wrong.Add(1)
+							t.Logf("seed %d: a good target is barred after %s and %d answers", seed, r.stopped, r.targetAnswers)
+						}
+					}
+				})
 			}
 		}
-	}
-	if float64(wrong) > maxWrongFraction*float64(runs) {
-		t.Errorf("a good target is marked bad in %d of %d runs, want at most %.0f%%", wrong, runs, 100*maxWrongFraction)
+	})
+	if float64(wrong.Load()) > maxWrongFraction*float64(runs.Load()) {
+		t.Errorf("a good target is marked bad in %d of %d runs, want at most %.0f%%", wrong.Load(), runs.Load(), 100*maxWrongFraction)
 	}
 }
 
@@ -357,10 +444,10 @@
 		return tracker
 	}
 	send := func(from *Reporter, to *Tracker, replyArrives bool) {
-		report, _ := from.Next()
+		report, _ := from.Next(start)
 		reply, _ := to.Receive(report, start)
 		if replyArrives {
-			from.Learn(reply)
+			from.Learn(reply, start)
 		}
 	}
 	origin, relay, first := newDaemon("origin"), newDaemon("relay"), newDaemon("first")
@@ -428,7 +515,7 @@
 			t.Fatalf("target is marked bad after %d answers, of which as many failed as of the old version", n)
 		}
 	}
-	report, ok := reporter.Next()
+	report, ok := reporter.Next(start)
 	encoded, err := json.Marshal(report)
 	if !ok || err != nil || len(encoded) > maxBytes {
 		t.Errorf("report of %d bytes (ok %v, error %v), want at most %d", len(encoded), ok, err, maxBytes)
--- a/crlrollout/report.go
+++ b/crlrollout/report.go
@@ -40,6 +40,7 @@
 	// Received holds the number of the newest sample that the daemon has of each origin that the report named.
 	Received map[crlid.Incarnation]int64 `json:"received"`
 	Suspect  bool                        `json:"suspect"` // the target is suspect
+	Open     bool                        `json:"open"`    // the target's answers don't suffice to complete the roll-out
 	Bad      bool                        `json:"bad"`     // the target is marked bad
 }
 
@@ -70,7 +71,7 @@
 }
 
 // Next returns the report to send next; ok is false if no roll-out is running.
-func (r *Reporter) Next() (report Report, ok bool) {
+func (r *Reporter) Next(now crlclock.Instant) (report Report, ok bool) {
 	t := r.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -78,6 +79,7 @@
 		if !rollout.assessable() {
 			continue
 		}
+		rollout.reportedAt = now
 		known := r.received[service]
 		if known.Order != rollout.order.Offset {
 			known.Received = nil
@@ -97,7 +99,7 @@
 }
 
 // Learn applies the reply to a report. It returns the services whose targets it marks bad.
-func (r *Reporter) Learn(reply Reply) (markedBad []crlid.Service) {
+func (r *Reporter) Learn(reply Reply, now crlclock.Instant) (markedBad []crlid.Service) {
 	t := r.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,7 +107,7 @@
 		r.merge(news)
 		rollout, ok := t.rollouts[news.Service]
 		if ok && rollout.order.Offset == news.Order {
-			rollout.suspectElsewhere = news.Suspect
+			rollout.suspectElsewhere, rollout.openElsewhere, rollout.repliedAt = news.Suspect, news.Open, now
 		}
 		if ok && news.Bad && rollout.order.Offset == news.Order && rollout.assessable() {
 			rollout.verdict = verdictLearned
@@ -144,7 +146,8 @@
 			}
 			news.Received[origin.Origin] = r.log(origin.Origin).newest
 		}
-		news.Suspect = r.suspectSince != 0
+		t.updateClear(r, now)
+		news.Suspect, news.Open = r.suspectSince != 0, r.clearSince == 0
 		news.Bad = r.verdict != verdictOpen || r.status.State == StateRolledBack
 		reply.Rollouts = append(reply.Rollouts, news)
 	}
--- a/crlrollout/tracker.go
+++ b/crlrollout/tracker.go
@@ -70,6 +70,10 @@
 	logs             map[crlid.Incarnation]*sampleLog // samples by origin: this daemon and all whose samples reached it
 	suspectSince     crlclock.Instant                 // since when the target has been suspect, 0 if it isn't
 	suspectElsewhere bool                             // the target is suspect at the daemon that this one reports to
+	reportedAt       crlclock.Instant                 // when this daemon made a report for another one last, 0 for never
+	repliedAt        crlclock.Instant                 // when a reply to a report came last, 0 for never
+	openElsewhere    bool                             // by that reply, the target was not clear
+	clearSince       crlclock.Instant                 // since when the target has been clear, 0 if it isn't
 	verdict          verdict
 }
 
@@ -208,8 +212,6 @@
 	// may allow a target few seconds after its 50th bad answer.
 	countedAnswers = 40
 	suspectTime    = 2 * time.Second
-	// lateMargin is the evidence beyond that for suspicion at which a target is bad when the time for its completion has come.
-	lateMargin = 1.0
 )
 
 // judge updates what is known about the target from the evidence, and reports whether it is now marked bad: because the evidence is
@@ -224,16 +226,15 @@
 	}
 	evidence := r.assessment.evidence()
 	suspect := suspectEvidence + enough - badEvidence
-	if evidence < suspect && !r.suspectElsewhere {
+	switch {
+	case evidence < suspect && !r.suspectElsewhere:
 		r.suspectSince = 0
-		return false
-	}
-	if r.suspectSince == 0 {
+	case r.suspectSince == 0:
 		r.suspectSince = now
 	}
 	switch {
 	case evidence >= enough:
-	case r.elapsedFraction(now) >= latestCompletion(r.order.Duration) && evidence >= suspect+lateMargin:
+	case r.elapsedFraction(now) >= maxDelayFraction && r.assessment.likelierBad():
 	case r.assessment.targetAnswers >= countedAnswers && now.Sub(r.suspectSince) > suspectTime && evidence >= suspect:
 	default:
 		return false
@@ -242,6 +243,34 @@
 	return true
 }
 
+const (
+	// reportValidity is how long after a report a daemon leaves it to the one that it reports to whether the target is clear, and how
+	// long the reply to a report holds. Daemons report about twice a second.
+	reportValidity = 3 * time.Second
+	// maxDelayFraction is the elapsed fraction of a roll-out's time from which a target that is not suspect is completed even if its
+	// answers don't suffice, as some requests may be too rare for that.
+	maxDelayFraction = 2.0
+)
+
+// updateClear updates since when the target has been clear. The daemon at which all samples meet decides on them; the others, which
+// have few, do as it replies.
+func (t *Tracker) updateClear(r *rollout, now crlclock.Instant) {
+	isClear := r.suspectSince == 0
+	switch {
+	case !isClear || r.order.Duration <= 0 || r.elapsedFraction(now) >= maxDelayFraction:
+	case r.reportedAt != 0 && now.Sub(r.reportedAt) <= reportValidity && !t.config.Alone():
+		isClear = r.repliedAt != 0 && now.Sub(r.repliedAt) <= reportValidity && !r.openElsewhere
+	default:
+		isClear = r.assessment.clears()
+	}
+	switch {
+	case !isClear:
+		r.clearSince = 0
+	case r.clearSince == 0:
+		r.clearSince = now
+	}
+}
+
 // Plan determines which versions a request of a service may and should run on. The zero Plan allows all versions.
 type Plan struct {
 	Target       crlid.Version // empty when there is no roll-out
@@ -272,6 +301,7 @@
 	}
 	r.requests++
 	t.addSlack(r, now)
+	t.updateClear(r, now)
 	return r.plan(now, capacity, t.config.Daemons())
 }
 
@@ -304,11 +334,14 @@
 		p.TargetBarred = true
 	default:
 		elapsed := r.elapsedFraction(now)
-		if r.suspectSince != 0 {
-			elapsed = min(elapsed, r.elapsedFraction(r.suspectSince)) // A suspect target gets no larger share.
-		}
 		p.PinSessions = elapsed < pinnedFraction
+		if r.suspectSince != 0 && elapsed < 1 {
+			elapsed = r.elapsedFraction(r.suspectSince) // A suspect target gets no larger share until the deadline.
+		}
 		p.Share = r.schedule.share(elapsed)
+		if r.clearSince == 0 {
+			p.Share = min(p.Share, warmupShare) // The other versions go on answering, so that the target can be compared with them.
+		}
 		if p.PinSessions || !hasCapacity(r.servers, others) {
 			p.Share = r.schedule.steps[0].share * min(1, fullStepDaemons/float64(daemons))
 		}
@@ -328,6 +361,13 @@
 	return float64(now.Sub(r.startedAt)) / float64(r.order.Duration)
 }
 
+// completionFraction returns the elapsed fraction of the roll-out's time from which a clear target is complete. If it became clear only
+// after the last step should have begun, the last step is shifted by the delay.
+func (r *rollout) completionFraction() float64 {
+	fraction := r.schedule.completionFraction(r.order.Duration)
+	return fraction + max(0, r.elapsedFraction(r.clearSince)-r.schedule.fullStart)
+}
+
 // hasCapacity reports whether the target has enough servers, compared with other versions, to get more than the first step.
 func hasCapacity(target, others int) bool {
 	return target > 0 && float64(target) >= minCapacityRatio*float64(others)
@@ -340,14 +380,46 @@
 	var due []DueStatus
 	for _, r := range t.rollouts {
 		t.judge(r, now)
+		t.updateClear(r, now)
 		if state := r.dueState(now, capacity); state != r.status.State {
 			status := Status{Service: r.order.Service, Target: r.order.Target, State: state, Urgent: r.verdict == verdictReached}
-			due = append(due, DueStatus{Status: status, Evidence: r.assessment.evidence(), Answers: r.assessment.ranked})
+			due = append(due, DueStatus{Status: status, Evidence: r.assessment.evidence(), Answers: r.assessment.compared()})
 		}
 	}
 	return due
 }
 
+// Delay is a roll-out that is past its deadline without an outcome.
+type Delay struct {
+	Service    crlid.Service
+	Target     crlid.Version
+	Offset     crlid.Offset // Order.Offset
+	Measure    Measure      // the measure in which the target is the least clear to this daemon
+	Likelihood float64      // logarithm of how much likelier the target is bad, in that measure and one class
+	Answers    int          // answers of the target that were compared in that measure and class
+}
+
+// Delayed returns the roll-outs that are past their deadline without an outcome.
+func (t *Tracker) Delayed(now crlclock.Instant) []Delay {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var delays []Delay
+	for _, r := range t.rollouts {
+		if r.elapsedFraction(now) < 1 || !r.assessable() {
+			continue
+		}
+		least := r.assessment.least()
+		delay := Delay{
+			Service: r.order.Service, Target: r.order.Target, Offset: r.order.Offset, Measure: least.key.measure(), Likelihood: least.likelihood,
+		}
+		if class, ok := r.assessment.classes[least.key]; ok {
+			delay.Answers = class.ranked
+		}
+		delays = append(delays, delay)
+	}
+	return delays
+}
+
 // dueState returns the state that the roll-out should have now, in this daemon's view.
 func (r *rollout) dueState(now crlclock.Instant, capacity Capacity) State {
 	switch {
@@ -355,7 +427,7 @@
 		return r.status.State
 	case r.verdict != verdictOpen:
 		return StateRolledBack
-	case r.suspectSince == 0 && r.elapsedFraction(now) >= r.schedule.completionFraction(r.order.Duration) && hasCapacity(capacity(r.order.Service, r.order.Target)):
+	case r.clearSince != 0 && r.elapsedFraction(now) >= r.completionFraction() && hasCapacity(capacity(r.order.Service, r.order.Target)):
 		return StateCompleted
 	default:
 		return StateRunning
--- a/crlrouter/evidence.go
+++ b/crlrouter/evidence.go
@@ -29,7 +29,7 @@
 	if isNew {
 		e.reporter.Reset()
 	}
-	report, ok := e.reporter.Next()
+	report, ok := e.reporter.Next(e.now())
 	if !ok {
 		return nil
 	}
@@ -61,7 +61,7 @@
 		e.logger.Event(EventBadRecord, slog.String("key", "reply to a report"), slog.String("cause", err.Error()))
 		return
 	}
-	e.logMarkedBad(e.reporter.Learn(decoded), "another daemon")
+	e.logMarkedBad(e.reporter.Learn(decoded, e.now()), "another daemon")
 }
 
 func (e *evidenceExchange) encode(message any) json.RawMessage {
--- a/crlrouter/orders.go
+++ b/crlrouter/orders.go
@@ -42,6 +42,7 @@
 	EventOrder         crllog.Event = "order"
 	EventBadRecord     crllog.Event = "bad-record"
 	EventStatus        crllog.Event = "rollout-status"
+	EventStatusDelayed crllog.Event = "rollout-delayed"
 )
 
 // activeTable is the routing table in force.
--- a/crlrouter/status.go
+++ b/crlrouter/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
 	"github.com/cranberrylock/cranberrylock/crlrelay"
@@ -32,7 +33,8 @@
 	now         crlclock.Clock
 	logger      *crllog.Logger
 	daemonCount func() int
-	replica     *crlrelay.Replica // replica of the status topic; a write fails unless the topic ends where the replica does
+	delayLogged map[crlid.Service]crlid.Offset // orders whose delay was logged
+	replica     *crlrelay.Replica              // replica of the status topic; a write fails unless the topic ends where the replica does
 }
 
 // apply applies status records that any daemon wrote.
@@ -61,10 +63,26 @@
 			}
 			p.write(ctx, status)
 		}
+		p.logDelays()
 	}
 	return ctx.Err()
 }
 
+// logDelays logs each roll-out once that is past its deadline without an outcome.
+func (p *statusReporter) logDelays() {
+	for _, delay := range p.rollouts.Delayed(p.now()) {
+		if offset, ok := p.delayLogged[delay.Service]; ok && offset == delay.Offset {
+			continue
+		}
+		if p.delayLogged == nil {
+			p.delayLogged = make(map[crlid.Service]crlid.Offset)
+		}
+		p.delayLogged[delay.Service] = delay.Offset
+		p.logger.Event(EventStatusDelayed, slog.String("service", string(delay.Service)), slog.String("target", string(delay.Target)),
+			slog.String("measure", delay.Measure.String()), slog.Float64("likelihood", delay.Likelihood), slog.Int("answers", delay.Answers))
+	}
+}
+
 // write appends a status on the condition that the topic still ends where the replica does. The store thereby also refuses
 // a write that arrives late.
 func (p *statusReporter) write(ctx context.Context, status crlrollout.DueStatus) {
