Keep the rate limits that servers state in their answers

Class: a wish that a server states in its answers is not decoded, so nothing can follow it.

Answers with status 421 or another request's id state nothing about the server.

--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -61,6 +61,8 @@
 	StateCold
 	// StateSuspect servers failed and are in a backoff time.
 	StateSuspect
+	// StateLimited servers state in their answers how many requests per second they take.
+	StateLimited
 )
 
 // Transition is one change of the state of a server.
@@ -80,7 +82,8 @@
 	openRequests    int
 	pendingWork     float64 // work of this daemon's open requests, in seconds of an unloaded server
 	health          health
-	removed         bool // the server no longer has an entry
+	limit           *statedLimit // nil without one
+	removed         bool         // the server no longer has an entry
 }
 
 // Fleet holds the known servers of all services. It is safe for concurrent use.
@@ -146,7 +149,7 @@
 		f.services[e.Service] = append(f.services[e.Service], s)
 	}
 	if !before.StartedAt.Equal(e.StartedAt) || before.Address != e.Address {
-		s.health = health{}
+		s.health, s.limit = health{}, nil
 		f.config.OnTransition(Transition{Server: e.Server, Entry: e, State: StateRestarted, Cause: "announced another start time or address"})
 	}
 	if e.Leaving && !before.Leaving {
--- a/crlfleet/fleet_test.go
+++ b/crlfleet/fleet_test.go
@@ -103,7 +103,7 @@
 		if p, err := f.Pick(n); err == nil {
 			sent++
 			p.Done(Result{Outcome: OutcomeAnswered})
-		} else if !errors.Is(err, ErrCold) {
+		} else if !errors.Is(err, ErrRateLimit) {
 			t.Fatal(err)
 		}
 	}
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -17,8 +17,8 @@
 
 // Errors of Fleet.Pick.
 var (
-	ErrNoServer = errors.New("no backend server of the service accepts requests")
-	ErrCold     = errors.New("every available backend server of the service is cold and at its rate limit")
+	ErrNoServer  = errors.New("no backend server of the service accepts requests")
+	ErrRateLimit = errors.New("every available backend server of the service is at its rate limit")
 )
 
 // Need specifies what a request requires of a server.
@@ -51,6 +51,7 @@
 	fleet             *Fleet
 	server            *server
 	load              *serviceLoad
+	pickedAt          crlclock.Instant
 	answered          bool    // whether markAnswered was called
 	work              float64 // Need.Work until the answer begins, then 0
 	workAfter         float64 // copied from Need.WorkAfter, in seconds
@@ -63,8 +64,8 @@
 )
 
 // Pick returns the allowed server with the lowest score. Servers of a preferred version come first, and among them those that
-// are neither in a backoff time nor delayed because their version is new to the service. It fails with ErrCold if all servers
-// that could be picked are cold and at their rate limit, and with ErrNoServer if there are none.
+// are neither in a backoff time nor delayed because their version is new to the service. It fails with ErrRateLimit if all servers
+// that could be picked are cold or state a limit, and are at their rate limit, and with ErrNoServer if there are none.
 func (f *Fleet) Pick(need Need) (*Pick, error) {
 	now := f.config.Now()
 	f.mu.Lock()
@@ -80,13 +81,14 @@
 				return &Pick{
 					Server: s.entry.Server, Address: s.entry.Address, Version: s.entry.Version,
 					ExpectedFirstByte: need.ExpectedFirstByte, fleet: f, server: s, load: l, work: need.Work, workAfter: need.WorkAfter,
+					pickedAt: now,
 				}, nil
 			}
 		}
 	}
 	for _, s := range f.services[need.Service] {
 		if f.inService(s) && need.Allows(s.entry.Version) && !need.Exclude[s.entry.Server] {
-			return nil, ErrCold
+			return nil, ErrRateLimit
 		}
 	}
 	return nil, ErrNoServer
@@ -104,7 +106,7 @@
 	return rank
 }
 
-// best returns the candidate with the lowest score that is not cold or has a token left, or nil. preferred limits the
+// best returns the candidate with the lowest score that has no rate limit or a token left, or nil. preferred limits the
 // candidates to preferred versions, and available to servers outside a backoff time and newVersionDelay.
 func (f *Fleet) best(need Need, preferred, available bool, now crlclock.Instant) *server {
 	var candidates []*server
@@ -130,7 +132,7 @@
 				best, lowest = i, score
 			}
 		}
-		if f.takeColdToken(candidates[best], need, now) {
+		if f.takeLimitToken(candidates[best], now) && f.takeColdToken(candidates[best], need, now) {
 			return candidates[best]
 		}
 		candidates = slices.Delete(candidates, best, best+1)
--- a/crlfleet/state_enumer.go
+++ b/crlfleet/state_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _StateName = "inleavinggonereborncoldsuspect"
+const _StateName = "inleavinggonereborncoldsuspectlimited"
 
-var _StateIndex = [...]uint8{0, 2, 9, 13, 19, 23, 30}
+var _StateIndex = [...]uint8{0, 2, 9, 13, 19, 23, 30, 37}
 
-const _StateLowerName = "inleavinggonereborncoldsuspect"
+const _StateLowerName = "inleavinggonereborncoldsuspectlimited"
 
 func (i State) String() string {
 	if i < 0 || i >= State(len(_StateIndex)-1) {
@@ -30,9 +30,10 @@
 	_ = x[StateRestarted-(3)]
 	_ = x[StateCold-(4)]
 	_ = x[StateSuspect-(5)]
+	_ = x[StateLimited-(6)]
 }
 
-var _StateValues = []State{StateInService, StateLeaving, StateGone, StateRestarted, StateCold, StateSuspect}
+var _StateValues = []State{StateInService, StateLeaving, StateGone, StateRestarted, StateCold, StateSuspect, StateLimited}
 
 var _StateNameToValueMap = map[string]State{
 	_StateName[0:2]:   StateInService,
@@ -41,6 +42,7 @@
 	_StateName[13:19]: StateRestarted,
 	_StateName[19:23]: StateCold,
 	_StateName[23:30]: StateSuspect,
+	_StateName[30:37]: StateLimited,
 }
 
 var _StateLowerNameToValueMap = map[string]State{
@@ -50,6 +52,7 @@
 	_StateLowerName[13:19]: StateRestarted,
 	_StateLowerName[19:23]: StateCold,
 	_StateLowerName[23:30]: StateSuspect,
+	_StateLowerName[30:37]: StateLimited,
 }
 
 var _StateNames = []string{
@@ -59,6 +62,7 @@
 	_StateName[13:19],
 	_StateName[19:23],
 	_StateName[23:30],
+	_StateName[30:37],
 }
 
 // StateString retrieves an enum value from the enum constants string name.
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -139,10 +139,10 @@
 }
 
 // noServerRefusal returns the refusal of a request for which the fleet has no server. The reason is overload when the only
-// servers left are cold (recently started) and have as many requests as a cold server may get.
+// servers left have as many requests as they may get, because they are cold (recently started) or state a limit.
 func (x *exchange) noServerRefusal(err error) *Refusal {
 	reason := ReasonNoServer
-	if errors.Is(err, crlfleet.ErrCold) {
+	if errors.Is(err, crlfleet.ErrRateLimit) {
 		reason = ReasonOverloaded
 	}
 	refusal := x.finalRefusal(reason)
--- a/crlforward/head.go
+++ b/crlforward/head.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
 
@@ -49,6 +50,7 @@
 	Signed     bool          // whether the answer carries a server's signature, which is not verified
 	Confidence int           // the model's own rating of the answer, 0 to 100, or NoConfidence
 	Weights    crlid.Version // version of the model weights that produced the answer
+	Statement  crlfleet.Statement
 }
 
 // Dialect translates between the headers of a platform and their meaning. Its methods may be called concurrently.
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -86,6 +86,10 @@
 	defer response.Body.Close()
 	head := s.config.Dialect.DecodeAnswer(response.StatusCode, response.Header)
 	x.recordSend(pick, plan.model(), response.StatusCode, result.FirstByte, "")
+	if (head.Request == x.head.Request || head.Request == "") && response.StatusCode != http.StatusMisdirectedRequest {
+		// Any other answer may be that of another server, or of another time.
+		pick.RecordStatement(head.Statement)
+	}
 	if head.NotRun {
 		result.Outcome, result.FirstByte = crlfleet.OutcomeFull, 0
 		if response.StatusCode == http.StatusMisdirectedRequest {
