Send nothing to a server whose answers state that it leaves

Some servers leave without an entry that says so, or state it in their answers first. The header was not decoded, so such a server got new requests until its entry changed. The fleet now takes it out with the first such answer, for the life of its process: the start time is remembered, so that an entry that lapses and returns doesn't bring it back.

--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -51,7 +51,7 @@
 const (
 	// StateInService servers accept requests.
 	StateInService State = iota // in
-	// StateLeaving servers have announced that they are shutting down.
+	// StateLeaving servers have announced, or stated in an answer, that they are shutting down.
 	StateLeaving
 	// StateGone servers no longer have an entry.
 	StateGone
@@ -83,6 +83,7 @@
 	pendingWork     float64 // work of this daemon's open requests, in seconds of an unloaded server
 	health          health
 	limit           *statedLimit // nil without one
+	statedLeaving   bool         // an answer stated that the server leaves
 	removed         bool         // the server no longer has an entry
 }
 
@@ -94,6 +95,7 @@
 	services  map[crlid.Service][]*server
 	evacuated map[crlid.Domain]bool
 	loads     map[crlid.Service]*serviceLoad
+	leaving   map[crlid.Server]time.Time // start times of the servers that stated in an answer that they leave
 }
 
 // serviceLoad holds what this daemon's requests showed about the load of a service.
@@ -125,6 +127,7 @@
 	return &Fleet{
 		config: config, servers: make(map[crlid.Server]*server), services: make(map[crlid.Service][]*server),
 		evacuated: make(map[crlid.Domain]bool), loads: make(map[crlid.Service]*serviceLoad),
+		leaving: make(map[crlid.Server]time.Time),
 	}
 }
 
@@ -134,7 +137,7 @@
 	defer f.mu.Unlock()
 	s, ok := f.servers[e.Server]
 	if !ok {
-		s = &server{entry: e}
+		s = &server{entry: e, statedLeaving: f.hasStatedLeaving(e)}
 		if f.isNewVersion(e, now) {
 			s.newVersionUntil = now.Add(newVersionDelay)
 		}
@@ -149,7 +152,7 @@
 		f.services[e.Service] = append(f.services[e.Service], s)
 	}
 	if !before.StartedAt.Equal(e.StartedAt) || before.Address != e.Address {
-		s.health, s.limit = health{}, nil
+		s.health, s.limit, s.statedLeaving = health{}, nil, false
 		f.config.OnTransition(Transition{Server: e.Server, Entry: e, State: StateRestarted, Cause: "announced another start time or address"})
 	}
 	if e.Leaving && !before.Leaving {
@@ -241,5 +244,5 @@
 
 // inService reports whether a server accepts new requests, regardless of its health.
 func (f *Fleet) inService(s *server) bool {
-	return !s.removed && !s.entry.Leaving && !f.evacuated[s.entry.Domain]
+	return !s.removed && !s.entry.Leaving && !s.statedLeaving && !f.evacuated[s.entry.Domain]
 }
--- a/crlfleet/statement.go
+++ b/crlfleet/statement.go
@@ -13,6 +13,7 @@
 
 // Statement is what a server states about itself in an answer.
 type Statement struct {
+	Leaving   bool    // the server ends soon and is to get no new requests
 	Limited   bool    // whether RateLimit is stated
 	RateLimit float64 // requests per second that the server takes from all daemons together, for as long as it states so
 }
@@ -41,9 +42,36 @@
 	now := f.config.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if stated.Leaving {
+		f.markLeaving(p.server)
+	}
 	f.applyLimit(p, stated, now)
 }
 
+// maxLeavingServers bounds the servers of which the fleet remembers that they stated to leave. An entry of one that is forgotten would have
+// to return from an old copy of the store to matter.
+const maxLeavingServers = 4096
+
+// markLeaving records that a server stated that it leaves. That holds for the rest of its process's life, whatever its entry says and
+// also if the entry is removed and returns.
+func (f *Fleet) markLeaving(s *server) {
+	if s.statedLeaving {
+		return
+	}
+	s.statedLeaving = true
+	if len(f.leaving) >= maxLeavingServers {
+		clear(f.leaving)
+	}
+	f.leaving[s.entry.Server] = s.entry.StartedAt
+	f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateLeaving, Cause: "stated in an answer"})
+}
+
+// hasStatedLeaving reports whether the process that an entry is about stated that it leaves.
+func (f *Fleet) hasStatedLeaving(e Entry) bool {
+	startedAt, ok := f.leaving[e.Server]
+	return ok && startedAt.Equal(e.StartedAt)
+}
+
 // applyLimit records the limit of an answer, or its end. An answer to a request from before the first statement does not end it.
 func (f *Fleet) applyLimit(p *Pick, stated Statement, now crlclock.Instant) {
 	s := p.server
