End sends whose answers begin and never end

A server in trouble may send bytes without end. Where they came slowly, a request waited for its deadline with that server although another one could answer: nothing bounded the time of a head that has begun, of a failure's body and of an event, and the body of a success without signature was read before it was rejected. A head that came fast took up to 10 MiB.

A head, an event and a failure's body now have 2 s from their first byte, a head 64 KiB and five interim answers, and an unsigned success is left at its head. What may be repeated goes to another server; what may not gets its answer at once instead of at its deadline.

Left: a slow head after an interim answer, and the body of a signed plain answer, which has only the request's deadline.

--- /dev/null
+++ b/crlforward/endless_test.go
@@ -0,0 +1,131 @@
+package crlforward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+// serveAll listens on loopback, reads the request on each connection and passes the connection to serve. It returns the listener's address.
+func serveAll(t *testing.T, serve func(connection net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = connection.Close() }()
+				request, err := http.ReadRequest(bufio.NewReader(connection))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				serve(connection)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// writeForever writes head and then piece again and again, with a pause between, until the connection is closed. It returns the number of
+// bytes that were taken.
+func writeForever(connection net.Conn, head, piece string, pause time.Duration) (written int64) {
+	for next := head; ; next = piece {
+		n, err := io.WriteString(connection, next)
+		written += int64(n)
+		if err != nil {
+			return written
+		}
+		if pause > 0 {
+			time.Sleep(pause)
+		}
+	}
+}
+
+// TestBytesWithoutEnd guards against a server in trouble whose bytes are no answer and never end: the request of a caller waited for its
+// deadline with it, and the bytes took memory, although another server could answer.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		status = "HTTP/1.1 200 OK\r\n"
+		signed = "X-Request: r1\r\nX-Signed: yes\r\n"
+		slow   = 50 * time.Millisecond
+		// maxTaken is what one such answer may take of this VM's memory and link, with the buffers of two sockets.
+		maxTaken = 16 << 20
+	)
+	padding := strings.Repeat("x", 16<<10)
+	for _, test := range []struct {
+		name, path, head, piece string
+		pause                   time.Duration
+	}{
+		{"status line", "/search/", "HTTP/1.1 200 ", padding, 0},
+		{"slow status line", "/search/", "HTTP/1.1 200 ", "x", slow},
+		{"no protocol", "/search/", "", padding, 0},
+		{"slow bytes of no protocol", "/search/", "x", "x", slow},
+		{"head", "/search/", status, "X-More: " + padding + "\r\n", 0},
+		{"slow head", "/search/", status + signed, "X-More: x\r\n", slow},
+		{"one header", "/search/", status + "X-More: ", padding, 0},
+		{"interim answers", "/search/", "", "HTTP/1.1 103 Early Hints\r\nX-More: x\r\n\r\n", 0},
+		{"slow interim answers", "/search/", "", "HTTP/1.1 103 Early Hints\r\nX-More: x\r\n\r\n", slow},
+		{"body without a signature", "/search/", status + "X-Request: r1\r\n\r\n", padding, 0},
+		{"slow body without a signature", "/search/", status + "X-Request: r1\r\n\r\n", "x", slow},
+		{"slow body of a failure", "/search/", "HTTP/1.1 500 Error\r\nX-Request: r1\r\n\r\n", "x", slow},
+		{"body of a failure", "/search/", "HTTP/1.1 500 Error\r\nX-Request: r1\r\n\r\n", padding, 0},
+		{"slow stream head", "/draft/", status + signed, "X-More: x\r\n", slow},
+		{"slow event", "/draft/", status + signed + "\r\ndata: ", "x", slow},
+		{"event", "/draft/", status + signed + "\r\ndata: ", padding, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var taken, asked atomic.Int64
+			ended := make(chan struct{}, 10)
+			endless := serveAll(t, func(connection net.Conn) {
+				asked.Add(1)
+				taken.Add(writeForever(connection, test.head, test.piece, test.pause))
+				ended <- struct{}{}
+			})
+			body := "ready"
+			if test.path == "/draft/" {
+				body = events(1, 3)
+			}
+			sound := serveAll(t, func(connection net.Conn) {
+				_, _ = fmt.Fprintf(connection, "%s%sContent-Length: %d\r\n\r\n%s", status, signed, len(body), body)
+			})
+			c := newCluster()
+			c.service.config.Transport = NewTransport()
+			for n := range 4 {
+				c.fleet.Remove(crlid.Server(fmt.Sprint("s", n)))
+			}
+			// The sound server is farther, so that the other one is asked first.
+			for address, domain := range map[string]crlid.Domain{endless: "near", sound: "far"} {
+				c.fleet.Announce(crlfleet.Entry{Server: crlid.Server(address), Service: "app", Address: address, Domain: domain, Version: "v1"}, c.now())
+			}
+			answer, aborted := c.call(t.Context(), test.path, nil)
+			if answer.Code != http.StatusOK || answer.Body.String() != body || aborted {
+				t.Errorf("status %d, %d bytes, aborted %v, want the answer of the sound server", answer.Code, answer.Body.Len(), aborted)
+			}
+			if asked.Load() == 0 {
+				t.Fatal("the server without end was not asked")
+			}
+			<-ended
+			if got := taken.Load(); got > maxTaken {
+				t.Errorf("%d bytes were taken, want at most %d", got, maxTaken)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/crlforward/incomplete.go
@@ -0,0 +1,61 @@
+package crlforward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptrace"
+	"net/textproto"
+	"time"
+)
+
+const (
+	// completeTimeout is the time from the first byte of a head, of an event or of a failure's body within which the rest must arrive. Each
+	// fits into few packets, so that a longer time shows a server whose bytes have no end. A saturated link with lost packets takes less.
+	completeTimeout = 2 * time.Second
+	maxInterimHeads = 5 // interim answers (status 1xx) after which a send ends
+)
+
+// errIncomplete is the cause with which a send ends whose server began a head and did not complete it in time.
+var errIncomplete = errors.New("head of the answer has begun but not ended")
+
+// watchHead adds functions to a trace that cancel the send with errIncomplete when the head of its answer is not complete in time. stop
+// must be called once the head has arrived or the send has failed.
+func watchHead(trace *httptrace.ClientTrace, cancel context.CancelCauseFunc) (stop func()) {
+	timer := time.AfterFunc(longestWait, func() { cancel(errIncomplete) })
+	interim := 0
+	trace.GotFirstResponseByte = func() { timer.Reset(completeTimeout) }
+	trace.Got1xxResponse = func(code int, _ textproto.MIMEHeader) error {
+		timer.Reset(longestWait) // The server may work on the request before the next head begins.
+		if interim++; interim > maxInterimHeads {
+			return fmt.Errorf("more than %d interim answers, the last one with status %d", maxInterimHeads, code)
+		}
+		return nil
+	}
+	return func() { timer.Stop() }
+}
+
+// eventReader reads the events of a stream. It closes the stream when an event that has begun is not complete in time.
+type eventReader struct {
+	events *bufio.Reader
+	timer  *time.Timer
+}
+
+// newEventReader returns a reader of a body's events. stop must be called at the end of its use.
+func newEventReader(body io.ReadCloser) (r *eventReader, stop func()) {
+	r = &eventReader{events: bufio.NewReader(body), timer: time.AfterFunc(longestWait, func() { _ = body.Close() })}
+	r.timer.Stop()
+	return r, func() { r.timer.Stop() }
+}
+
+// next returns the next event; see readEvent.
+func (r *eventReader) next() ([]byte, error) {
+	if _, err := r.events.Peek(1); err != nil {
+		return nil, err
+	}
+	r.timer.Reset(completeTimeout)
+	defer r.timer.Stop()
+	return readEvent(r.events)
+}
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -36,12 +36,13 @@
 		x.readFallback(response)
 		return verdictEscalate, crlfleet.OutcomeAnswered
 	}
-	events := bufio.NewReader(response.Body)
+	events, stop := newEventReader(response.Body)
+	defer stop()
 	defer comparison.recordPace()
 	fresh := !x.stream.started // no earlier send has given the caller part of the answer
 	controller := http.NewResponseController(x.writer)
 	for {
-		event, err := readEvent(events)
+		event, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
 			return s.handleBrokenStream(ctx, x, err)
 		}
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -129,14 +129,16 @@
 	}
 	ctx = withDialTimeout(ctx, x.dialTimeout())
 	var hasConnection atomic.Bool
-	request := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	clientTrace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			hasConnection.Store(true)
 			if wd != nil {
 				wd.setConnection(info.Conn)
 			}
 		},
-	}), x, pick, plan)
+	}
+	defer watchHead(clientTrace, cancel)()
+	request := s.newRequest(httptrace.WithClientTrace(ctx, clientTrace), x, pick, plan)
 	response, err = s.config.Transport.RoundTrip(request)
 	connected = err == nil || hasConnection.Load()
 	if connected {
@@ -257,6 +259,13 @@
 		x.trace.cause = "backend server did not go on with the stream"
 		return s.retryVerdict(x), crlfleet.OutcomeFailed
 	}
+	if response.StatusCode < http.StatusMultipleChoices && !head.Signed {
+		x.trace.cause = "backend server's success answer has no signature" // Its body is not read, as it may have no end.
+		return s.retryVerdict(x), crlfleet.OutcomeFailed
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		defer time.AfterFunc(completeTimeout, func() { _ = response.Body.Close() }).Stop()
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeldReplyBytes+1))
 	if err != nil {
 		if endedLocally(ctx) {
@@ -266,10 +275,6 @@
 		return s.retryVerdict(x), failureOutcome(ctx)
 	}
 	answer := &reply{status: response.StatusCode, header: response.Header, body: body}
-	if response.StatusCode < http.StatusMultipleChoices && !head.Signed {
-		x.trace.cause = "backend server's success answer has no signature"
-		return s.retryVerdict(x), crlfleet.OutcomeFailed
-	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		x.lastFailure = answer
 		if x.route.Repeatable() && x.sends < x.route.Attempts {
--- a/crlforward/transport.go
+++ b/crlforward/transport.go
@@ -17,6 +17,7 @@
 	// delays or loses a few; the watchdog ends what may be sent again long before.
 	keepAliveProbes       = 5
 	connectionBufferBytes = 4 << 10
+	maxHeadBytes          = 64 << 10 // a longer head of an answer ends the send
 )
 
 // NewTransport returns a transport that opens a new connection for each send, at the cost of a round trip.
@@ -41,7 +42,7 @@
 	}
 	return &http.Transport{
 		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
-		WriteBufferSize: connectionBufferBytes, ReadBufferSize: connectionBufferBytes,
+		WriteBufferSize: connectionBufferBytes, ReadBufferSize: connectionBufferBytes, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/crlforward/watchdog.go
+++ b/crlforward/watchdog.go
@@ -228,13 +228,13 @@
 // endedLocally reports whether a send was ended by the caller, a deadline or the fallback timer, rather than by a failure of
 // its server.
 func endedLocally(ctx context.Context) bool {
-	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUnresponsive)
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUnresponsive) && !errors.Is(context.Cause(ctx), errIncomplete)
 }
 
 // failureOutcome returns the outcome that a failed send has for its server's health. The context of such a send ends only
-// when the watchdog found the server unreachable.
+// when the watchdog found the server unreachable, or when the head of the answer was not completed.
 func failureOutcome(ctx context.Context) crlfleet.Outcome {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errIncomplete) {
 		return crlfleet.OutcomeUnreachable
 	}
 	return crlfleet.OutcomeFailed
