--- a/crlengine/transport.go
+++ b/crlengine/transport.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// maxHeadBytes bounds the head of an answer, so that one without end takes little memory.
+const maxHeadBytes = 64 << 10
+
 // newTransport returns a transport that uses no proxy. If unpooled is true, it opens a connection for each request.
 func newTransport(config ClientConfig, unpooled bool) *http.Transport {
 	dial := config.Dial
@@ -20,10 +23,11 @@
 			defer cancel()
 			return dialBeforeSendBy(ctx, dial, network, address)
 		},
-		DisableKeepAlives:     unpooled,
-		DisableCompression:    true,
-		MaxIdleConnsPerHost:   config.IdlePerServer,
-		ResponseHeaderTimeout: config.HeaderTimeout,
+		DisableKeepAlives:      unpooled,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    config.IdlePerServer,
+		ResponseHeaderTimeout:  config.HeaderTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
