--- a/crlrollout/assessment.go
+++ b/crlrollout/assessment.go
@@ -17,9 +17,8 @@
 type assessment struct {
 	random        func() float64 // returns random numbers in [0, 1)
 	classes       map[classKey]*classAssessment
-	targetAnswers int // number of answers of the target with a time to the first byte
-	leastClear    clarity
-	leastIsStale  bool // leastClear must be determined anew
+	targetAnswers int      // number of answers of the target with a time to the first byte
+	cached        *clarity // what leastClear returned last; nil after another sample
 }
 
 const (
@@ -124,7 +123,7 @@
 		c = &classAssessment{}
 		a.classes[key] = c
 	}
-	a.leastIsStale = true
+	a.cached = nil
 	values := &c.old
 	if s.target() {
 		values = &c.unranked
@@ -165,16 +164,16 @@
 
 // clears reports whether the target's answers suffice to call it no worse than the other versions in each class. A service without
 // requests has no classes, and its target is clear.
-func (a *assessment) clears() bool { return a.least().likelihood <= clearLikelihood }
+func (a *assessment) clears() bool { return a.leastClear().likelihood <= clearLikelihood }
 
 // likelierBad reports whether the target is rather bad than good in some class.
-func (a *assessment) likelierBad() bool { return a.least().likelihood > 0 }
+func (a *assessment) likelierBad() bool { return a.leastClear().likelihood > 0 }
 
-// least returns the class with the highest likelihood of those that have at least minClassFraction of the answers of other versions; the
+// leastClear returns the class with the highest likelihood of those that have at least minClassFraction of the answers of other versions; the
 // likelihood is leastLikelihood if there is none.
-func (a *assessment) least() clarity {
-	if !a.leastIsStale && a.leastClear != (clarity{}) {
-		return a.leastClear
+func (a *assessment) leastClear() clarity {
+	if a.cached != nil {
+		return *a.cached
 	}
 	least := clarity{likelihood: leastLikelihood}
 	for key, c := range a.classes {
@@ -184,7 +183,7 @@
 			least = clarity{key: key, likelihood: c.likelihood}
 		}
 	}
-	a.leastClear, a.leastIsStale = least, false
+	a.cached = &least
 	return least
 }
 
--- a/crlrollout/tracker.go
+++ b/crlrollout/tracker.go
@@ -334,10 +334,10 @@
 		p.TargetBarred = true
 	default:
 		elapsed := r.elapsedFraction(now)
-		p.PinSessions = elapsed < pinnedFraction
 		if r.suspectSince != 0 && elapsed < 1 {
 			elapsed = r.elapsedFraction(r.suspectSince) // A suspect target gets no larger share until the deadline.
 		}
+		p.PinSessions = elapsed < pinnedFraction
 		p.Share = r.schedule.share(elapsed)
 		if r.clearSince == 0 {
 			p.Share = min(p.Share, warmupShare) // The other versions go on answering, so that the target can be compared with them.
@@ -408,7 +408,7 @@
 		if r.elapsedFraction(now) < 1 || !r.assessable() {
 			continue
 		}
-		least := r.assessment.least()
+		least := r.assessment.leastClear()
 		delay := Delay{
 			Service: r.order.Service, Target: r.order.Target, Offset: r.order.Offset, Measure: least.key.measure(), Likelihood: least.likelihood,
 		}
--- a/crlrouter/status.go
+++ b/crlrouter/status.go
@@ -33,7 +33,7 @@
 	now         crlclock.Clock
 	logger      *crllog.Logger
 	daemonCount func() int
-	delayLogged map[crlid.Service]crlid.Offset // orders whose delay was logged
+	delayLogged map[crlid.Service]crlid.Offset // by service: the order whose delay was logged last
 	replica     *crlrelay.Replica              // replica of the status topic; a write fails unless the topic ends where the replica does
 }
 
