--- a/crlfleet/statement_test.go
+++ b/crlfleet/statement_test.go
@@ -94,10 +94,10 @@
 	for _, test := range []struct {
 		name   string
 		stated Statement
-		want   error
+		want   error // nil for a *PausedError
 	}{
 		{"leaving", Statement{Leaving: true}, ErrNoServer},
-		{"pause", Statement{Pause: time.Hour}, new(PausedError)},
+		{"pause", Statement{Pause: time.Hour}, nil},
 		{"limit", Statement{Limited: true}, ErrRateLimit},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -106,8 +106,8 @@
 			mustPick(t, f, testNeed()).RecordStatement(test.stated)
 			_, err := f.Pick(testNeed())
 			var paused *PausedError
-			if _, wantsPause := test.want.(*PausedError); wantsPause != errors.As(err, &paused) || !wantsPause && !errors.Is(err, test.want) {
-				t.Errorf("pick after the statement: %v, want %v", err, test.want)
+			if errors.As(err, &paused) != (test.want == nil) || test.want != nil && !errors.Is(err, test.want) {
+				t.Errorf("pick after the statement: %v, want %v (nil for a pause)", err, test.want)
 			}
 			e := testEntry(1)
 			e.StartedAt = e.StartedAt.Add(time.Second)
--- a/crlforward/head.go
+++ b/crlforward/head.go
@@ -45,12 +45,12 @@
 
 // AnswerHead holds what a backend server states in the headers of an answer.
 type AnswerHead struct {
-	Request    crlid.Request // the request that the answer belongs to
-	NotRun     bool          // whether the server states that it did not run the request
-	Signed     bool          // whether the answer carries a server's signature, which is not verified
-	Confidence int           // the model's own rating of the answer, 0 to 100, or NoConfidence
-	Weights    crlid.Version // version of the model weights that produced the answer
-	Statement  crlfleet.Statement
+	Request    crlid.Request      // the request that the answer belongs to
+	NotRun     bool               // whether the server states that it did not run the request
+	Signed     bool               // whether the answer carries a server's signature, which is not verified
+	Confidence int                // the model's own rating of the answer, 0 to 100, or NoConfidence
+	Weights    crlid.Version      // version of the model weights that produced the answer
+	Statement  crlfleet.Statement // what the server states about itself
 }
 
 // Dialect translates between the headers of a platform and their meaning. Its methods may be called concurrently.
--- a/crlforward/incomplete.go
+++ b/crlforward/incomplete.go
@@ -45,6 +45,7 @@
 
 // newEventReader returns a reader of a body's events. stop must be called at the end of its use.
 func newEventReader(body io.ReadCloser) (r *eventReader, stop func()) {
+	// The timer runs only while an event is incomplete.
 	r = &eventReader{events: bufio.NewReader(body), timer: time.AfterFunc(longestWait, func() { _ = body.Close() })}
 	r.timer.Stop()
 	return r, func() { r.timer.Stop() }
