Bound the memory that a stated limit takes

A server whose answer states a limit of 10 million requests a second, damaged or meant, took as many buckets of every router, and each pick walked through them. A limit has 64 buckets at most now.

Evidence: TestHugeLimitTakesLittleMemory failed with 10,349,056 buckets after 34 s and passes.

--- a/crlfleet/statement.go
+++ b/crlfleet/statement.go
@@ -26,6 +26,7 @@
 	// leasedLimitShare is the part of a stated limit that is divided among slots. The rest is left for the requests by which daemons
 	// without a slot learn whether the limit still holds.
 	leasedLimitShare = 0.75
+	maxLimitBuckets  = 64   // bounds the memory of a limit, and the requests that may be sent at once
 	minStatedLimit   = 0.25 // assumed of a server that states less, so that it is asked again within a bounded time
 )
 
@@ -116,7 +117,7 @@
 // set changes the limit. New buckets are empty, so that a limit that changes all the time gives no extra requests.
 func (l *statedLimit) set(perSecond float64, f *Fleet, now crlclock.Instant) {
 	l.perSecond = perSecond
-	count := max(int(math.Ceil(perSecond)), 1)
+	count := int(max(min(math.Ceil(perSecond), maxLimitBuckets), 1))
 	for len(l.buckets) < count {
 		var bucket crlbudget.Bucket
 		bucket.Take(l.bucketLimit(count), now)
--- a/crlfleet/statement_test.go
+++ b/crlfleet/statement_test.go
@@ -125,3 +125,19 @@
 	clock.advance(maxPause + time.Millisecond)
 	mustPick(t, f, testNeed())
 }
+
+// TestHugeLimitTakesLittleMemory guards against a damaged or generous limit that takes a bucket for each of its requests a second.
+func TestHugeLimitTakesLittleMemory(t *testing.T) {
+	for _, perSecond := range []float64{500, 1e7, 1e300} {
+		clock := &fakeClock{now: crlclock.Instant(time.Hour)}
+		f := newStatingFleet(clock, allSlots{}, 1)
+		mustPick(t, f, testNeed()).RecordStatement(Statement{Limited: true, RateLimit: perSecond})
+		if got := cap(f.servers["s1"].limit.buckets); got > 2*maxLimitBuckets {
+			t.Errorf("a limit of %.0f takes %d buckets, want at most %d", perSecond, got, maxLimitBuckets)
+		}
+		clock.advance(time.Second)
+		if got := sendFor(f, clock, time.Second, func() Statement { return Statement{Limited: true, RateLimit: perSecond} }); got < 90 {
+			t.Errorf("%d of 100 requests a second are sent at a limit of %.0f", got, perSecond)
+		}
+	}
+}
