State in the error of a call how many bytes had arrived

The line of a source that was given up now ends with the number of bytes that had come, if any.

Evidence: TestErrorOfACallStatesWhatArrived (new) expects that text, which did not exist before.

--- a/crlpeer/client.go
+++ b/crlpeer/client.go
@@ -39,6 +39,7 @@
 // clientConn is the connection to one address.
 type clientConn struct {
 	rpc        *jsonrpc2.Conn
+	socket     *countingConn
 	writeToken chan struct{} // holds a token while a call is written; unlike the lock of rpc, a wait for it ends with the context
 	lastReply  atomic.Int64  // time of the last reply, in nanoseconds since the Unix epoch
 }
@@ -54,6 +55,7 @@
 	if err != nil {
 		return &Error{Address: address, Method: string(method), Err: err}
 	}
+	received := conn.socket.received.Load()
 	err = conn.call(ctx, method, params, result)
 	var errorReply *jsonrpc2.Error
 	if err == nil || errors.As(err, &errorReply) {
@@ -62,7 +64,7 @@
 		c.discard(address, conn)
 	}
 	if err != nil {
-		return &Error{Address: address, Method: string(method), Err: err}
+		return &Error{Address: address, Method: string(method), Err: err, Received: conn.socket.received.Load() - received}
 	}
 	return nil
 }
@@ -124,10 +126,10 @@
 		_ = socket.Close()
 		return conn
 	}
-	stream := jsonrpc2.NewPlainObjectStream(&deadlineConn{Conn: socket, timeout: c.config.CallTimeout})
+	counting := &countingConn{Conn: &deadlineConn{Conn: socket, timeout: c.config.CallTimeout}}
 	// The connection outlives the call that opened it.
-	rpc := jsonrpc2.NewConn(context.Background(), stream, ignoreCalls{}, discardLog())
-	conn := &clientConn{rpc: rpc, writeToken: make(chan struct{}, 1)}
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(counting), ignoreCalls{}, discardLog())
+	conn := &clientConn{rpc: rpc, socket: counting, writeToken: make(chan struct{}, 1)}
 	c.connections[address] = conn
 	return conn
 }
@@ -142,6 +144,19 @@
 	_ = conn.rpc.Close()
 }
 
+// countingConn counts the bytes that a connection brings.
+type countingConn struct {
+	net.Conn
+	received atomic.Int64
+}
+
+// Read reads into b and counts what it got.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // deadlineConn limits the duration of each write, so that a peer that doesn't read can't block other calls for longer.
 type deadlineConn struct {
 	net.Conn
--- a/crlpeer/client_test.go
+++ b/crlpeer/client_test.go
@@ -36,3 +36,25 @@
 		}
 	})
 }
+
+// TestErrorOfACallStatesWhatArrived guards against logs in which a reply that came too late looks like one that never came.
+func TestErrorOfACallStatesWhatArrived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		go func() {
+			buffer := make([]byte, 1<<10)
+			_, _ = far.Read(buffer)
+			_, _ = far.Write([]byte(`{"jsonrpc":"2.0","id":0,"result":"unfinished`))
+		}()
+		client := NewClient(ClientConfig{
+			ConnectTimeout: time.Second, CallTimeout: time.Second,
+			Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil },
+		})
+		defer client.Close()
+		err := client.Call(t.Context(), "peer", "heartbeat", struct{}{}, nil)
+		const want = "call to peer peer, method heartbeat: context deadline exceeded after 44 bytes"
+		if err == nil || err.Error() != want {
+			t.Errorf("call whose reply began and did not end: got error %v, want %s", err, want)
+		}
+	})
+}
--- a/crlpeer/error.go
+++ b/crlpeer/error.go
@@ -11,10 +11,15 @@
 	Address string
 	Method  string
 	Err     error // the cause
+	// Received is the number of bytes that came on the connection during the call, also of replies to other calls.
+	Received int64
 }
 
-// Error returns the peer's address, the method and the cause in one line.
+// Error returns the peer's address, the method and the cause in one line, and how many bytes had come if there were any.
 func (e *Error) Error() string {
+	if e.Received > 0 {
+		return fmt.Sprintf("call to peer %s, method %s: %v after %d bytes", e.Address, e.Method, e.Err, e.Received)
+	}
 	return fmt.Sprintf("call to peer %s, method %s: %v", e.Address, e.Method, e.Err)
 }
 
