--- a/crlfake/network.go
+++ b/crlfake/network.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
 )
 
 // Node is the name of a process on a Network.
@@ -16,6 +18,9 @@
 // NetworkConfig configures a Network.
 type NetworkConfig struct {
 	Latency time.Duration // time until written data arrives
+	// BytesPerSecond returns the rate of a node's link, in each direction, 0 for one without limit. All sockets of a node share its link. Nil
+	// stands for links without limit.
+	BytesPerSecond func(Node) float64
 }
 
 // Network connects the nodes (processes) of a test in memory. Nodes can be paused and killed, and links can be cut.
@@ -31,7 +36,8 @@
 	killed    map[Node]bool
 	cuts      map[[2]Node]bool // links that are cut, by the key that the function link returns
 	sockets   map[*socket]struct{}
-	changed   chan struct{} // closed and replaced when a node is paused, resumed or killed or a link is cut or healed
+	linkFree  map[direction]time.Time // when what was sent so far has passed the link
+	changed   chan struct{}           // closed and replaced when a node is paused, resumed or killed or a link is cut or healed
 }
 
 // errRefused is the cause of a failed dial to an address on which no node listens.
@@ -45,7 +51,7 @@
 	return &Network{
 		config: config, listeners: make(map[string]*pipeListener), paused: make(map[Node]bool),
 		killed: make(map[Node]bool), cuts: make(map[[2]Node]bool), sockets: make(map[*socket]struct{}),
-		changed: make(chan struct{}),
+		linkFree: make(map[direction]time.Time), changed: make(chan struct{}),
 	}
 }
 
@@ -113,6 +119,49 @@
 	n.changed = make(chan struct{})
 }
 
+// direction is one direction of a node's link.
+type direction struct {
+	node     Node
+	outbound bool
+}
+
+// transmit returns the moment at which data of the given size has passed the sender's link and then the receiver's, after all that was
+// sent before.
+func (n *Network) transmit(from, to Node, size int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := n.pass(direction{node: from, outbound: true}, time.Now(), size)
+	return n.pass(direction{node: to}, sent, size)
+}
+
+// Transmit waits until data of the given size has passed the links of both nodes, or until ctx ends, whose error it returns. It is for tests
+// that carry some messages outside of sockets.
+func (n *Network) Transmit(ctx context.Context, from, to Node, size int) error {
+	for size > 0 && ctx.Err() == nil {
+		segment := min(size, segmentBytes)
+		crlclock.Sleep(ctx, time.Until(n.transmit(from, to, segment)))
+		size -= segment
+	}
+	return ctx.Err()
+}
+
+// pass queues data at one direction of a link and returns when it has passed. The caller holds mu.
+func (n *Network) pass(d direction, at time.Time, size int) time.Time {
+	rate := 0.0
+	if n.config.BytesPerSecond != nil {
+		rate = n.config.BytesPerSecond(d.node)
+	}
+	if rate == 0 {
+		return at
+	}
+	if free := n.linkFree[d]; free.After(at) {
+		at = free
+	}
+	at = at.Add(time.Duration(float64(size) / rate * float64(time.Second)))
+	n.linkFree[d] = at
+	return at
+}
+
 // link returns the key of the link between two nodes, in whichever order they are given.
 func link(a, b Node) [2]Node { return [2]Node{min(a, b), max(a, b)} }
 
@@ -263,6 +312,9 @@
 // accepted when the buffer is empty.
 const socketBufferBytes = 256 << 10
 
+// segmentBytes is the size of the parts in which data passes a link. Sockets that share a link take turns after each.
+const segmentBytes = 64 << 10
+
 // socket is one end of a connection. Writes are buffered; a goroutine per socket delivers them.
 type socket struct {
 	net.Conn
@@ -348,9 +400,26 @@
 	}
 }
 
-// deliver writes data to the pipe after the network's latency and once the link isn't cut.
+// deliver passes data on, in segments if links have limits.
 func (s *socket) deliver(data []byte) error {
-	arrival, cancel := context.WithTimeout(context.Background(), s.network.config.Latency)
+	for len(data) > 0 {
+		size := len(data)
+		if s.network.config.BytesPerSecond != nil {
+			size = min(size, segmentBytes)
+		}
+		if err := s.deliverSegment(data[:size]); err != nil {
+			return err
+		}
+		data = data[size:]
+	}
+	return nil
+}
+
+// deliverSegment writes data to the pipe after the network's latency, when it has passed the links of both nodes, and once
+// the link between them isn't cut.
+func (s *socket) deliverSegment(data []byte) error {
+	passed := s.network.transmit(s.node, s.peer, len(data))
+	arrival, cancel := context.WithTimeout(context.Background(), s.network.config.Latency+time.Until(passed))
 	defer cancel()
 	select {
 	case <-arrival.Done():
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -155,15 +155,20 @@
 // setDefaults sets the fields of the network that are nil to TCP.
 func (c *Config) setDefaults() {
 	if c.Peers == nil {
-		c.Peers = crlpeer.NewClient(crlpeer.ClientConfig{
-			ConnectTimeout: peerConnectTimeout, CallTimeout: crlrelay.FollowWait + peerConnectTimeout,
-		})
+		c.Peers = newPeerClient(nil)
 	}
 	if c.Listen == nil {
 		c.Listen = net.Listen
 	}
 }
 
+// newPeerClient returns the client for calls to other routers; a nil dial stands for TCP.
+func newPeerClient(dial crlpeer.Dial) *crlpeer.Client {
+	return crlpeer.NewClient(crlpeer.ClientConfig{
+		ConnectTimeout: peerConnectTimeout, CallTimeout: crlrelay.FollowWait + peerConnectTimeout, Dial: dial,
+	})
+}
+
 // Names of the store's topics in calls between routers.
 const (
 	topicOrders  crlrelay.Topic = "orders"
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -106,6 +106,7 @@
 	codec     Codec
 	transport http.RoundTripper // carries sends to backend servers
 	grace     time.Duration     // Bounds.Grace of the routers
+	wire      *crlfake.Network  // carries calls between routers, encoded, instead of network; nil for none
 }
 
 func newCluster(store *memoryStore) *cluster {
@@ -114,24 +115,51 @@
 
 func address(n int) string { return fmt.Sprintf("10.0.0.%d:1", n) }
 
+// peers returns the client with which router n calls the others.
+func (c *cluster) peers(n int) crlrelay.Caller {
+	if c.wire == nil {
+		return c.network
+	}
+	return newPeerClient(c.wire.Dialer(crlfake.Node(address(n))))
+}
+
+// serve makes router n reachable for the others.
+func (c *cluster) serve(ctx context.Context, n int, server *crlrelay.Server) {
+	if c.wire == nil {
+		c.network.mu.Lock()
+		defer c.network.mu.Unlock()
+		c.network.servers[address(n)] = server
+		return
+	}
+	listener, err := c.wire.Listen(crlfake.Node(address(n)), address(n))
+	if err != nil {
+		panic(err)
+	}
+	mux := crlpeer.NewMux()
+	mux.Register(crlrelay.MethodFollow, crlpeer.Typed(server.Follow))
+	go func() { _ = mux.Serve(ctx, listener) }()
+}
+
 // start starts router n, which has strength n, with the given seeds.
 func (c *cluster) start(ctx context.Context, n int, seeds ...string) *Router {
+	view := c.store.storeView(n)
+	if c.wire != nil {
+		view.transfer = func(ctx context.Context, size int) error { return c.wire.Transmit(ctx, "store", crlfake.Node(address(n)), size) }
+	}
 	started := New(Config{
 		Settings: &Settings{
 			Daemon: crlid.Daemon(address(n)), Domain: "near", PeerListen: address(n), Seeds: seeds, Strength: n,
 			Bounds: Bounds{RetryWindow: 10 * time.Second, Grace: c.grace},
 		},
-		Store: c.store.storeView(n), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
-		Codec: c.codec, Dialect: testDialect{}, Peers: c.network, Transport: c.transport,
+		Store: view, Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
+		Codec: c.codec, Dialect: testDialect{}, Peers: c.peers(n), Transport: c.transport,
 		Logger: crllog.New(crllog.Config{Output: io.Discard}), Clock: c.clock,
 		Reload: func() (*Settings, error) { return nil, errors.New("no file") },
 	})
-	c.network.mu.Lock()
-	c.network.servers[address(n)] = crlrelay.NewServer(crlrelay.ServerConfig{
+	c.serve(ctx, n, crlrelay.NewServer(crlrelay.ServerConfig{
 		Address: address(n), Self: started.incarnation, Replicas: started.replicas, Roster: started.follower.Roster, Now: c.clock,
 		Exchange: started.evidence,
-	})
-	c.network.mu.Unlock()
+	}))
 	for _, task := range started.tasks() {
 		go func() { _ = task(ctx) }()
 	}
--- a/crlrouter/store_test.go
+++ b/crlrouter/store_test.go
@@ -29,6 +29,8 @@
 type storeView struct {
 	*memoryStore
 	refuse atomic.Bool
+	// transfer waits until a reply of the given size has arrived; nil for replies that take no time.
+	transfer func(ctx context.Context, size int) error
 }
 
 // storeView returns the connection of router n, which it keeps when it restarts.
@@ -45,14 +47,28 @@
 	if v.refuse.Load() {
 		return crlplatform.KeyedPage{}, false, errRefused
 	}
-	return v.memoryStore.Newest(ctx, topic, after)
+	page, more, err := v.memoryStore.Newest(ctx, topic, after)
+	return page, more, errors.Join(err, v.arrive(ctx, page))
 }
 
 func (v *storeView) Read(ctx context.Context, topic string, read crlplatform.KeyedRead) (crlplatform.KeyedPage, error) {
 	if v.refuse.Load() {
 		return crlplatform.KeyedPage{}, errRefused
 	}
-	return v.memoryStore.Read(ctx, topic, read)
+	page, err := v.memoryStore.Read(ctx, topic, read)
+	return page, errors.Join(err, v.arrive(ctx, page))
+}
+
+// arrive waits until a page has arrived.
+func (v *storeView) arrive(ctx context.Context, page crlplatform.KeyedPage) error {
+	if v.transfer == nil {
+		return nil
+	}
+	size := 0
+	for _, r := range page.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return v.transfer(ctx, size)
 }
 
 func (v *storeView) Join(ctx context.Context, join crlplatform.Join) (crlplatform.Membership, error) {
