Let a call between routers go on while its reply arrives

A call had 0.9 s in all, of which the source may hold it for 0.5 s. The time-out of a call now counts from the latest byte, up to 5 s in all, for clients that ask for it; a reply is written for as long as it is read.

--- a/crlpeer/client.go
+++ b/crlpeer/client.go
@@ -15,7 +15,10 @@
 type ClientConfig struct {
 	ConnectTimeout time.Duration // for opening a connection
 	CallTimeout    time.Duration // for one call, including the time to connect
-	Dial           Dial          // opens connections; nil for TCP
+	// TransferTimeout is for a call whose reply is arriving when the CallTimeout ends: such a call goes on while no more than the
+	// CallTimeout passes without a byte on its connection. If zero, it doesn't. It is for clients with one call at a time to each peer, as any reply counts.
+	TransferTimeout time.Duration
+	Dial            Dial // opens connections; nil for TCP
 }
 
 // Dial opens a connection to an address, as [net.Dialer.DialContext] does.
@@ -44,11 +47,11 @@
 	lastReply  atomic.Int64  // time of the last reply, in nanoseconds since the Unix epoch
 }
 
-// Call sends params to a method of the peer and decodes the reply into result. It takes at most the CallTimeout; its errors are
-// of type [*Error]. After a failure it closes the connection if that broke, or if the peer has replied to no call since this one
+// Call sends params to a method of the peer and decodes the reply into result. It takes at most the CallTimeout, or the TransferTimeout
+// while a reply arrives; its errors are of type [*Error]. After a failure it closes the connection if that broke, or if the peer has replied to no call since this one
 // began.
 func (c *Client) Call(ctx context.Context, address string, method Method, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.config.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(c.config.CallTimeout, c.config.TransferTimeout))
 	defer cancel()
 	start := time.Now()
 	conn, err := c.connect(ctx, address)
@@ -56,11 +59,17 @@
 		return &Error{Address: address, Method: string(method), Err: err}
 	}
 	received := conn.socket.received.Load()
+	ctx, stop := conn.socket.withStallTimeout(ctx, c.config.CallTimeout, start)
 	err = conn.call(ctx, method, params, result)
+	broken := ctx.Err() == nil
+	if err != nil && !broken {
+		err = context.Cause(ctx)
+	}
+	stop()
 	var errorReply *jsonrpc2.Error
 	if err == nil || errors.As(err, &errorReply) {
 		conn.lastReply.Store(time.Now().UnixNano())
-	} else if conn.unresponsive(ctx, start) {
+	} else if conn.unresponsive(broken, start) {
 		c.discard(address, conn)
 	}
 	if err != nil {
@@ -86,8 +95,8 @@
 
 // unresponsive reports, after a failed call, whether the connection should be given up: it broke before the deadline of the call,
 // or the peer has replied to no call since this one began.
-func (conn *clientConn) unresponsive(ctx context.Context, start time.Time) bool {
-	return ctx.Err() == nil || conn.lastReply.Load() < start.UnixNano()
+func (conn *clientConn) unresponsive(broken bool, start time.Time) bool {
+	return broken || conn.lastReply.Load() < start.UnixNano()
 }
 
 // Close closes every connection; calls that wait for a reply fail.
@@ -148,27 +157,64 @@
 type countingConn struct {
 	net.Conn
 	received atomic.Int64
+	lastRead atomic.Int64 // time of the latest bytes, in nanoseconds since the Unix epoch
 }
 
 // Read reads into b and counts what it got.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.received.Add(int64(n))
+	if n > 0 {
+		c.received.Add(int64(n))
+		c.lastRead.Store(time.Now().UnixNano())
+	}
 	return n, err
 }
 
-// deadlineConn limits the duration of each write, so that a peer that doesn't read can't block other calls for longer.
+// withStallTimeout returns a context that ends when, since start, no byte has come on the connection for the given time. stop must be
+// called at the end of its use.
+func (c *countingConn) withStallTimeout(parent context.Context, timeout time.Duration, start time.Time) (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	var timer *time.Timer
+	check := func() {
+		latest := max(c.lastRead.Load(), start.UnixNano())
+		if left := time.Until(time.Unix(0, latest).Add(timeout)); left > 0 {
+			timer.Reset(left)
+			return
+		}
+		cancel(context.DeadlineExceeded)
+	}
+	// check uses timer, so the timer must not fire before it is set.
+	timer = time.AfterFunc(longestStall, check)
+	timer.Reset(max(time.Until(start.Add(timeout)), time.Nanosecond))
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
+// longestStall is longer than the CallTimeout of any client.
+const longestStall = time.Hour
+
+// deadlineConn limits the duration of writes, so that a peer that doesn't read can't block other calls for long.
 type deadlineConn struct {
 	net.Conn
 	timeout time.Duration
 }
 
-// Write writes b, or fails if that takes longer than the timeout.
-func (d *deadlineConn) Write(b []byte) (int, error) {
-	if err := d.SetWriteDeadline(time.Now().Add(d.timeout)); err != nil {
-		return 0, err
+// writeChunkBytes is the part of a write that must be accepted within the timeout.
+const writeChunkBytes = 64 << 10
+
+// Write writes b, or fails if a part of writeChunkBytes takes longer than the timeout.
+func (d *deadlineConn) Write(b []byte) (written int, err error) {
+	for written < len(b) && err == nil {
+		if err := d.SetWriteDeadline(time.Now().Add(d.timeout)); err != nil {
+			return written, err
+		}
+		var n int
+		n, err = d.Conn.Write(b[written:min(written+writeChunkBytes, len(b))])
+		written += n
 	}
-	return d.Conn.Write(b)
+	return written, err
 }
 
 // ignoreCalls drops calls that a peer sends on a connection that a Client opened; only the client side makes calls.
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -165,7 +165,7 @@
 // newPeerClient returns the client for calls to other routers; a nil dial stands for TCP.
 func newPeerClient(dial crlpeer.Dial) *crlpeer.Client {
 	return crlpeer.NewClient(crlpeer.ClientConfig{
-		ConnectTimeout: peerConnectTimeout, CallTimeout: crlrelay.FollowWait + peerConnectTimeout, Dial: dial,
+		ConnectTimeout: peerConnectTimeout, CallTimeout: crlrelay.FollowWait + peerConnectTimeout, TransferTimeout: peerTransferTimeout, Dial: dial,
 	})
 }
 
@@ -184,8 +184,13 @@
 // enough for a follower to leave a reader that the store refuses well before the gap reaches outageThreshold.
 const relayDelay = 2 * crlrelay.FollowWait // 1 s
 
-// peerConnectTimeout is many times the round trip between failure domains.
-const peerConnectTimeout = 400 * time.Millisecond
+const (
+	// peerConnectTimeout is many times the round trip between failure domains.
+	peerConnectTimeout = 400 * time.Millisecond
+	// peerTransferTimeout is the time that a call may take while its reply arrives. Giving it up would send the whole reply again, from
+	// another router, over the same link.
+	peerTransferTimeout = 5 * time.Second
+)
 
 // state returns the routing state for a request that arrives now.
 func (r *Router) state() crlforward.State {
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -144,7 +144,9 @@
 func (c *cluster) start(ctx context.Context, n int, seeds ...string) *Router {
 	view := c.store.storeView(n)
 	if c.wire != nil {
-		view.transfer = func(ctx context.Context, size int) error { return c.wire.Transmit(ctx, "store", crlfake.Node(address(n)), size) }
+		view.transfer = func(ctx context.Context, size int) error {
+			return c.wire.Transmit(ctx, "store", crlfake.Node(address(n)), size)
+		}
 	}
 	started := New(Config{
 		Settings: &Settings{
