Let a read of the store go on while its reply arrives

A read of the store ended 1.2 s after the time for which the store may hold it, however much of its reply had arrived: 1.5 MB over a link of 10 Mbit/s, less beside other traffic. The time-out counts from the latest bytes now (crlclock.WithStallTimeout), up to 5 s in all.

Evidence: TestReaderOnAThinLinkGetsALargeConfiguration failed with configuration 1 after 4 s and passes.

--- a/crlclock/doc.go
+++ b/crlclock/doc.go
@@ -10,5 +10,7 @@
 // time.AfterFunc with no time to wait, but under one race context for the whole bubble. Two threads that use it at once crash
 // the race detector.
 //
+// WithStallTimeout gives a transfer as much time as it takes, as long as some of it goes on arriving.
+//
 // All functions of the package are safe for concurrent use.
 package crlclock
--- a/crlfake/network.go
+++ b/crlfake/network.go
@@ -134,13 +134,14 @@
 	return n.pass(direction{node: to}, sent, size)
 }
 
-// Transmit waits until data of the given size has passed the links of both nodes, or until ctx ends, whose error it returns. It is for tests
-// that carry some messages outside of sockets.
+// Transmit waits until data of the given size has passed the links of both nodes, or until ctx ends, whose error it returns. It reports
+// each part to the stall time-out of ctx. It is for tests that carry some messages outside of sockets.
 func (n *Network) Transmit(ctx context.Context, from, to Node, size int) error {
 	for size > 0 && ctx.Err() == nil {
 		segment := min(size, segmentBytes)
 		crlclock.Sleep(ctx, time.Until(n.transmit(from, to, segment)))
 		size -= segment
+		crlclock.Progress(ctx)
 	}
 	return ctx.Err()
 }
--- a/crlrouter/large_configuration_test.go
+++ b/crlrouter/large_configuration_test.go
@@ -101,3 +101,34 @@
 		})
 	}
 }
+
+// TestReaderOnAThinLinkGetsALargeConfiguration guards against a read of the store that ends, and is made anew, while a large configuration
+// is on its way.
+func TestReaderOnAThinLinkGetsALargeConfiguration(t *testing.T) {
+	const (
+		thinLink = 1_250_000.0     // bytes per second, 10 Mbit/s
+		allowed  = 4 * time.Second // the configuration takes 2.6 s over the link
+	)
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		store.put("orders", "config", `{"version":1}`)
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(store)
+		c.codec = versionCodec{}
+		c.wire = crlfake.NewNetwork(crlfake.NetworkConfig{BytesPerSecond: func(node crlfake.Node) float64 {
+			if node == "store" {
+				return 0
+			}
+			return thinLink
+		}})
+		router := c.start(ctx, 0)
+		time.Sleep(5 * time.Second)
+		store.put("orders", "config", largeConfiguration(2, 15000))
+		time.Sleep(allowed)
+		if got := tableVersion(router); got != 2 {
+			t.Errorf("the router has configuration %d, want 2, %s after it was written", got, allowed)
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/crlrouter/watcher.go
+++ b/crlrouter/watcher.go
@@ -44,9 +44,11 @@
 
 const (
 	callTimeoutMargin = 1200 * time.Millisecond // added to a long poll's wait; a slow store answers within 600 ms
-	minRetryPause     = 150 * time.Millisecond  // pause after a failed read; doubles up to maxRetryPause
-	idlePollInterval  = 100 * time.Millisecond  // time between checks whether to read the store, or to remove lapsed servers
-	maxRetryPause     = 600 * time.Millisecond  // short enough for several retries before the last confirmation is too old
+	// storeTransferTimeout is the time that a read may take while its reply arrives; large configurations take seconds over a thin link.
+	storeTransferTimeout = 5 * time.Second
+	minRetryPause        = 150 * time.Millisecond // pause after a failed read; doubles up to maxRetryPause
+	idlePollInterval     = 100 * time.Millisecond // time between checks whether to read the store, or to remove lapsed servers
+	maxRetryPause        = 600 * time.Millisecond // short enough for several retries before the last confirmation is too old
 )
 
 // watcherConfig configures a watcher.
@@ -110,8 +112,10 @@
 	// A read that returned records confirmed the replica only as of the time it was sent. The next read therefore waits only
 	// for the rest of the long poll, and the first one after an outage not at all.
 	wait := max(w.config.longPoll-sentAt.Sub(w.config.replica.ConfirmedAt()), 0)
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTransferTimeout)
 	defer cancel()
+	ctx, stop := crlclock.WithStallTimeout(ctx, wait+callTimeoutMargin, callTimeoutMargin)
+	defer stop()
 	page, err := w.config.store.Read(ctx, w.config.topic, crlplatform.KeyedRead{From: from, Wait: wait})
 	var refused *crlplatform.Error
 	if errors.As(err, &refused) && refused.Trimmed {
@@ -140,8 +144,10 @@
 // bootstrap replaces the content of the replica by the newest record of every key.
 func (w *watcher) bootstrap(ctx context.Context) error {
 	sentAt := w.config.now()
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, storeTransferTimeout)
 	defer cancel()
+	ctx, stop := crlclock.WithStallTimeout(ctx, callTimeoutMargin, callTimeoutMargin)
+	defer stop()
 	var records []crlplatform.KeyedRecord
 	after, end := "", crlid.NoOffset
 	for {
