Compress large records in calls between routers

Callers of routers on links of 10 Mbit/s got answers by a replaced configuration for seconds: 1 MB, the size of one with 4,200 routes in base64, takes a thin link for 0.83 s, and with 15,000 routes for 3.3 s, longer than it may take until it is in force. Values of 32 kB and more are compressed by DEFLATE now, once for all followers. A follower says that it takes such records, so that VMs can be updated one by one.

Its values shrink to a tenth and less (TestLargeRecordsAreCompressed).

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -222,7 +222,7 @@
 	isNew := f.incarnation == "" || f.exchangedWith != f.incarnation
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, FollowRequest{
 		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), MaxWait: Milliseconds(FollowWait.Milliseconds()), RosterDigest: f.Roster().digest(),
-		Self: f.selfWithoutRoster(), Exchange: f.config.Exchange.Request(isNew),
+		Self: f.selfWithoutRoster(), Exchange: f.config.Exchange.Request(isNew), Decompresses: true,
 	}, &response)
 	if err != nil {
 		f.cause = err.Error()
@@ -290,10 +290,15 @@
 	detour := f.detour()
 	for _, topic := range f.config.ApplyOrder {
 		replica, delta := f.config.Replicas[topic], response.Topics[topic]
+		records, err := decodeRecords(delta.Records)
+		if err != nil {
+			f.cause = err.Error()
+			return false
+		}
 		if delta.Full {
-			replica.Replace(delta.Records, delta.End)
+			replica.Replace(records, delta.End)
 		} else {
-			replica.Apply(delta.Records, delta.End)
+			replica.Apply(records, delta.End)
 		}
 		f.cursors[topic] = delta.Cursor
 		confirmedAt := sentAt.Add(time.Duration(response.HeldFor-delta.ConfirmationAge) * time.Millisecond)
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -8,7 +8,6 @@
 
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
-	"github.com/cranberrylock/cranberrylock/crlplatform"
 )
 
 // MethodFollow requests the changes of a daemon's replicas.
@@ -26,6 +25,8 @@
 	Self         *Member                `json:"self,omitempty"`     // the follower, if it knows no roster
 	RosterDigest uint64                 `json:"roster"`             // digest of the roster that the follower has
 	Exchange     json.RawMessage        `json:"exchange,omitempty"` // message of the follower's Exchange
+	// Decompresses reports whether the follower takes compressed records; daemons of earlier versions don't.
+	Decompresses bool `json:"decompresses,omitempty"`
 }
 
 // FollowResponse is the reply to a FollowRequest.
@@ -41,11 +42,11 @@
 
 // TopicDelta holds the changes of one replica since the follower's cursor.
 type TopicDelta struct {
-	Full            bool                      `json:"whole"` // whether Records holds every key, so that the follower deletes all others
-	Records         []crlplatform.KeyedRecord `json:"records,omitempty"`
-	Cursor          Cursor                    `json:"cursor"`
-	End             crlid.Offset              `json:"end"`    // offset at which the topic ended when the replica last read it
-	ConfirmationAge Milliseconds              `json:"age-ms"` // time since the replica was last confirmed to be complete; negative for never
+	Full            bool         `json:"whole"` // whether Records holds every key, so that the follower deletes all others
+	Records         []Record     `json:"records,omitempty"`
+	Cursor          Cursor       `json:"cursor"`
+	End             crlid.Offset `json:"end"`    // offset at which the topic ended when the replica last read it
+	ConfirmationAge Milliseconds `json:"age-ms"` // time since the replica was last confirmed to be complete; negative for never
 }
 
 // Member is one daemon of the roster, identified by its address: a daemon that restarts is the same member.
--- /dev/null
+++ b/crlrelay/record.go
@@ -0,0 +1,97 @@
+package crlrelay
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+)
+
+// Record is a record of the store in messages.
+type Record struct {
+	Key     string       `json:"key"`
+	Offset  crlid.Offset `json:"offset"`
+	Deleted bool         `json:"deleted,omitempty"` // the record deletes its key
+	Value   []byte       `json:"value,omitempty"`
+	// Compressed reports whether Value is compressed by DEFLATE.
+	Compressed bool `json:"compressed,omitempty"`
+}
+
+const (
+	// compressFromBytes is the size from which a value is compressed. A smaller one takes a thin link for a moment only, less than a compressor's
+	// memory is worth.
+	compressFromBytes = 32 << 10
+	maxValueBytes     = 64 << 20 // size up to which a value is decompressed
+)
+
+// compressedValue is the compressed form of a record's value, which is made when it is first sent.
+type compressedValue struct {
+	once  sync.Once
+	value []byte // nil if the value doesn't become smaller
+}
+
+// encodeRecord returns the message of a record; compressed holds the compressed form for all that it is sent to.
+func encodeRecord(r crlplatform.KeyedRecord, compressed *compressedValue) Record {
+	message := Record{Key: r.Key, Offset: r.Offset, Deleted: r.Deleted, Value: r.Value}
+	if len(r.Value) < compressFromBytes || compressed == nil {
+		return message
+	}
+	compressed.once.Do(func() { compressed.value = compress(r.Value) })
+	if compressed.value != nil {
+		message.Value, message.Compressed = compressed.value, true
+	}
+	return message
+}
+
+// compress returns the compressed value, nil if it isn't smaller.
+func compress(value []byte) []byte {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.DefaultCompression)
+	if err != nil {
+		return nil
+	}
+	// Writes to a bytes.Buffer never fail.
+	_, _ = w.Write(value)
+	_ = w.Close()
+	if b.Len() >= len(value) {
+		return nil
+	}
+	return bytes.Clone(b.Bytes())
+}
+
+var errValueSize = errors.New("value is too large")
+
+// decodeRecord returns the record of a message.
+func decodeRecord(message Record) (crlplatform.KeyedRecord, error) {
+	r := crlplatform.KeyedRecord{Key: message.Key, Offset: message.Offset, Deleted: message.Deleted, Value: message.Value}
+	if !message.Compressed {
+		return r, nil
+	}
+	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(message.Value)), maxValueBytes+1))
+	if err == nil && len(value) > maxValueBytes {
+		err = errValueSize
+	}
+	if err != nil {
+		return crlplatform.KeyedRecord{}, fmt.Errorf("decompress record %s at offset %d: %w", message.Key, message.Offset, err)
+	}
+	r.Value = value
+	return r, nil
+}
+
+// decodeRecords returns the records of messages.
+func decodeRecords(messages []Record) ([]crlplatform.KeyedRecord, error) {
+	records := make([]crlplatform.KeyedRecord, 0, len(messages))
+	for _, m := range messages {
+		r, err := decodeRecord(m)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -46,8 +46,9 @@
 
 // versionedRecord is a record with the number of the change that set it.
 type versionedRecord struct {
-	record crlplatform.KeyedRecord
-	change Cursor
+	record     crlplatform.KeyedRecord
+	change     Cursor
+	compressed *compressedValue
 }
 
 // NewReplica returns an empty Replica, which counts as not loaded.
@@ -96,11 +97,11 @@
 		}
 		same := ok && r.config.Same != nil && !record.Deleted && !before.record.Deleted && r.config.Same(before.record, record)
 		if same {
-			r.records[record.Key] = versionedRecord{record: record, change: before.change}
+			r.records[record.Key] = versionedRecord{record: record, change: before.change, compressed: new(compressedValue)}
 			continue
 		}
 		r.lastChange++
-		r.records[record.Key] = versionedRecord{record: record, change: r.lastChange}
+		r.records[record.Key] = versionedRecord{record: record, change: r.lastChange, compressed: new(compressedValue)}
 		changed = append(changed, record)
 	}
 	r.end = max(r.end, end)
@@ -164,7 +165,7 @@
 
 // delta holds the changes for a follower, and the replica's state at that moment.
 type delta struct {
-	records     []crlplatform.KeyedRecord
+	records     []versionedRecord
 	full        bool // records holds every key
 	cursor      Cursor
 	end         crlid.Offset
@@ -172,6 +173,18 @@
 	loaded      bool
 }
 
+// messages returns the delta's records in messages, compressed if the follower decompresses them.
+func (d *delta) messages(compressed bool) []Record {
+	var messages []Record
+	for _, r := range d.records {
+		if !compressed {
+			r.compressed = nil
+		}
+		messages = append(messages, encodeRecord(r.record, r.compressed))
+	}
+	return messages
+}
+
 // since returns the records that changed after a follower's cursor, in the order of the topic. For a follower without a cursor, these are the
 // records from the offset end on, up to which its replica is complete, or all records if it has none or deletions since may be unknown.
 func (r *Replica) since(after Cursor, end crlid.Offset) delta {
@@ -181,9 +194,9 @@
 	d.full = after == 0 && (end == crlid.NoOffset || end < r.completeFrom)
 	for _, held := range r.records {
 		if held.change > after && (d.full || after > 0 || held.record.Offset >= end) {
-			d.records = append(d.records, held.record)
+			d.records = append(d.records, held)
 		}
 	}
-	slices.SortFunc(d.records, func(a, b crlplatform.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortFunc(d.records, func(a, b versionedRecord) int { return cmp.Compare(a.record.Offset, b.record.Offset) })
 	return d
 }
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -66,7 +66,7 @@
 			age = Milliseconds(answeredAt.Sub(d.confirmedAt).Milliseconds() + 1)
 		}
 		response.Topics[topic] = TopicDelta{
-			Full: d.full, Records: d.records, Cursor: d.cursor, End: d.end, ConfirmationAge: age,
+			Full: d.full, Records: d.messages(request.Decompresses), Cursor: d.cursor, End: d.end, ConfirmationAge: age,
 		}
 	}
 	if roster := s.config.Roster(); roster.digest() != request.RosterDigest {
