Reproduce the second way to CONFIG: readers whose wait for orders is lost

The reader's orders had not been confirmed for 2.6 s, and nothing looked wrong until 2.5 s. In the test the store refuses one or both readers, sends them nothing, or only the connection on which they wait for orders goes silent, at 12 moments of its rhythm.

--- a/crlrouter/store_test.go
+++ b/crlrouter/store_test.go
@@ -29,6 +29,9 @@
 type storeView struct {
 	*memoryStore
 	refuse atomic.Bool
+	silent atomic.Bool // whether replies to reads are lost, as on connections that have gone silent
+	// silencedOrders is the number of times that the connection on which orders were being read has gone silent.
+	silencedOrders atomic.Int64
 	// transfer waits until a reply of the given size has arrived; nil for replies that take no time.
 	transfer func(ctx context.Context, size int) error
 }
@@ -55,12 +58,21 @@
 	if v.refuse.Load() {
 		return crlplatform.KeyedPage{}, errRefused
 	}
+	before := v.silencedOrders.Load()
 	page, err := v.memoryStore.Read(ctx, topic, read)
+	if topic == "orders" && v.silencedOrders.Load() != before {
+		<-ctx.Done()
+		return crlplatform.KeyedPage{}, ctx.Err()
+	}
 	return page, errors.Join(err, v.arrive(ctx, page))
 }
 
 // arrive waits until a page has arrived.
 func (v *storeView) arrive(ctx context.Context, page crlplatform.KeyedPage) error {
+	if v.silent.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if v.transfer == nil {
 		return nil
 	}
