Bound the age of relayed orders by the deployment's bounds

Orders that were confirmed up to 2.5 s ago counted as fresh, whatever the deployment allows, and a read whose connection had gone silent hid a change for up to 2.7 s. The store holds a read of the orders for a quarter of it, and a confirmation is too old at five eighths, which leaves time for a held call and for another source or the store. The same was true of servers' entries: 1.7 s and a held call exceeded the 2 s in which a leaving server may get requests; they follow the bound too.

TestConfirmationStaysFreshWhileOrdersChange writes at the end of the shorter poll now, and its limits shrink with it.

--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -76,8 +76,7 @@
 }
 
 const (
-	ordersLongPoll = 1500 * time.Millisecond // short, so that several confirmations fit into the longest accepted age of one
-	statusLongPoll = 5 * time.Second         // long because a status is rarely written, and the read ends when one is
+	statusLongPoll = 5 * time.Second // long because a status is rarely written, and the read ends when one is
 	// confirmationAgeFraction of Bounds.Revocation is the longest accepted age of a confirmation. The rest allows for coarse clocks.
 	confirmationAgeFraction = 0.9
 	requestMemoryBytes      = 64 << 10 // memory taken by one open request with its body and buffers
@@ -101,8 +100,7 @@
 		Replicas: r.replicas, ApplyOrder: topicApplyOrder, Peers: config.Peers, Now: config.Clock, Log: config.Logger,
 		StoreFailing: func() bool { return r.failingTopics.Load() > 0 },
 		MaxAge: map[crlrelay.Topic]time.Duration{
-			topicOrders: ordersLongPoll + relayDelay, topicServers: s.Bounds.serversPause() + relayDelay,
-			topicStatus: 2*statusLongPoll + relayDelay,
+			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
 		},
 		Exchange: r.evidence,
 	})
@@ -180,10 +178,6 @@
 // before its order.
 var topicApplyOrder = []crlrelay.Topic{topicStatus, topicOrders, topicServers}
 
-// relayDelay is how much older a follower's last confirmation may be than its reader's, with time for slow calls. It is short
-// enough for a follower to leave a reader that the store refuses well before the gap reaches outageThreshold.
-const relayDelay = 2 * crlrelay.FollowWait // 1 s
-
 const (
 	// peerConnectTimeout is many times the round trip between failure domains.
 	peerConnectTimeout = 400 * time.Millisecond
@@ -262,7 +256,7 @@
 // tasks returns the loops that keep the router's state in step with the store and the other routers.
 func (r *Router) tasks() []func(context.Context) error {
 	status := r.newWatcher(watcherConfig{topic: r.config.Topics.Status, replica: r.replicas[topicStatus], longPoll: statusLongPoll})
-	orders := r.newWatcher(watcherConfig{topic: r.config.Topics.Orders, replica: r.replicas[topicOrders], longPoll: ordersLongPoll})
+	orders := r.newWatcher(watcherConfig{topic: r.config.Topics.Orders, replica: r.replicas[topicOrders], longPoll: r.config.Settings.Bounds.ordersLongPoll()})
 	servers := r.newWatcher(watcherConfig{
 		topic: r.config.Topics.Servers, replica: r.replicas[topicServers], pause: r.config.Settings.Bounds.serversPause(),
 	})
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -380,11 +380,13 @@
 // only as of its start, so the next one must be shorter: through another full poll the confirmation would grow so old that
 // all followers leave their readers.
 func TestConfirmationStaysFreshWhileOrdersChange(t *testing.T) {
+	const step = 50 * time.Millisecond
+	ordersLongPoll := Bounds{}.ordersLongPoll()
 	runCluster(t, 6, func(store *memoryStore, routers []*Router) {
-		for n := range 20 {
+		for n := range 60 {
 			store.put("orders", "config", fmt.Sprint(n+2))
-			for range 28 { // 1.4 s, just before a long poll ends
-				time.Sleep(50 * time.Millisecond)
+			for range int((ordersLongPoll - step) / step) { // until just before a long poll ends
+				time.Sleep(step)
 				for i, r := range routers {
 					limit := ordersLongPoll + 2*crlrelay.FollowWait
 					if r.follower.IsReader() {
--- a/crlrouter/settings.go
+++ b/crlrouter/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
 )
 
 // Settings configures one router. Only MemoryBytes and Seeds can change while it runs. Each address is a host and a port.
@@ -25,6 +26,7 @@
 // Bounds holds the limits that the deployment requires the router to keep.
 type Bounds struct {
 	Grace          time.Duration // time from the router's stop signal until its process is killed
+	Configuration  time.Duration // time from the acknowledgement of a configuration until it must be in force, 0 for defaultConfiguration
 	Revocation     time.Duration // time from the revocation of an API key until requests with it must be refused, 0 for no bound
 	RetryRatio     float64       // extra sends per request in RetryWindow, over all routers
 	RetryWindow    time.Duration // sliding window in which requests and extra sends are counted
@@ -49,19 +51,62 @@
 }
 
 const (
-	defaultServerDrain = 2 * time.Second // the bound of present deployments
+	defaultServerDrain   = 2 * time.Second // the bound of present deployments
+	defaultConfiguration = 2 * time.Second // the shortest bound of present deployments
 	// serversPauseFraction is the fraction of the drain bound between two reads of the servers' entries. The rest leaves time
 	// for a failed reader and for the daemons that follow it.
 	serversPauseFraction = 0.35
-	maxServersPause      = 800 * time.Millisecond // plus relayDelay, below outageThreshold, so that a normal gap is no outage
+	maxServersPause      = 800 * time.Millisecond // plus maxRelayDelay, below outageThreshold, so that a normal gap is no outage
+	// ordersLongPollFraction is the fraction of the bound on configurations for which the store holds a read of the orders: a read whose
+	// reply is lost hides a change for as long as its confirmation counts as fresh.
+	ordersLongPollFraction = 0.25
+	maxOrdersLongPoll      = 1500 * time.Millisecond // short, so that several confirmations fit into the longest accepted age of one
+	// relayDelayFraction is the fraction of a bound by which confirmations may be older than the time between two reads. What is left of the bound
+	// is for a call that is being held, and for another source or a read of the store in its place.
+	relayDelayFraction = 0.375
+	// maxRelayDelay is how much older a follower's last confirmation needs to be than its reader's, with time for slow calls. It is
+	// short enough for a follower to leave a reader that the store refuses well before the gap reaches outageThreshold.
+	maxRelayDelay = 2 * crlrelay.FollowWait // 1 s
 )
 
+// drain returns ServerDrain or its default.
+func (b Bounds) drain() time.Duration {
+	if b.ServerDrain > 0 {
+		return b.ServerDrain
+	}
+	return defaultServerDrain
+}
+
+// configuration returns Configuration or its default.
+func (b Bounds) configuration() time.Duration {
+	if b.Configuration > 0 {
+		return b.Configuration
+	}
+	return defaultConfiguration
+}
+
+// fraction returns a fraction of a bound, at most the given limit.
+func fraction(part float64, bound, limit time.Duration) time.Duration {
+	return min(time.Duration(part*float64(bound)), limit)
+}
+
 // serversPause returns the minimum time between two reads of the servers' entries. Heartbeats change that topic all the time,
 // so without a pause one read would follow the other at once.
 func (b Bounds) serversPause() time.Duration {
-	drain := b.ServerDrain
-	if drain <= 0 {
-		drain = defaultServerDrain
-	}
-	return min(time.Duration(serversPauseFraction*float64(drain)), maxServersPause)
+	return fraction(serversPauseFraction, b.drain(), maxServersPause)
+}
+
+// serversMaxAge returns the age from which a confirmation of the servers' entries is too old for a router to rely on its source.
+func (b Bounds) serversMaxAge() time.Duration {
+	return b.serversPause() + fraction(relayDelayFraction, b.drain(), maxRelayDelay)
+}
+
+// ordersLongPoll returns how long the store holds a read of the operators' orders while there are no new ones.
+func (b Bounds) ordersLongPoll() time.Duration {
+	return fraction(ordersLongPollFraction, b.configuration(), maxOrdersLongPoll)
+}
+
+// ordersMaxAge returns the age from which a confirmation of the operators' orders is too old for a router to rely on its source.
+func (b Bounds) ordersMaxAge() time.Duration {
+	return b.ordersLongPoll() + fraction(relayDelayFraction, b.configuration(), maxRelayDelay)
 }
--- a/crlrouter/settings_test.go
+++ b/crlrouter/settings_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlrelay"
 )
 
 // TestServersArePolledWithinTheBound checks that a shorter drain bound shortens the pause between reads of the servers'
@@ -19,8 +21,39 @@
 		if got != c.want {
 			t.Errorf("drain bound %s: pause %s, want %s", c.drain, got, c.want)
 		}
-		if fresh := got + relayDelay; fresh >= outageThreshold {
+		if fresh := got + maxRelayDelay; fresh >= outageThreshold {
 			t.Errorf("drain bound %s: normal gap between confirmations %s, want below the outage threshold %s", c.drain, fresh, outageThreshold)
 		}
 	}
 }
+
+// TestAgesLeaveTimeWithinTheBound checks that confirmations which are too old are noticed, even while a call is held, before half a quarter of
+// the bound is left for a read of the store, and that confirmations of a slow store don't count as too old.
+func TestAgesLeaveTimeWithinTheBound(t *testing.T) {
+	const (
+		slowReply = 320 * time.Millisecond // of a store that answers 80 times as late as usual
+		feeders   = 1                      // routers between a reader and another one in a large fleet
+	)
+	for _, bound := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
+		b := Bounds{Configuration: bound, ServerDrain: bound}
+		want := max(bound, defaultConfiguration)
+		for _, topic := range []struct {
+			name             string
+			between, longest time.Duration
+		}{
+			{name: "orders", between: b.ordersLongPoll() + slowReply, longest: b.ordersMaxAge()},
+			{name: "servers", between: b.serversPause(), longest: b.serversMaxAge()},
+		} {
+			if normal := topic.between + slowReply; normal > topic.longest {
+				t.Errorf("bound %s: %s are confirmed for the last time up to %s ago while the store is slow, allowed are %s", bound, topic.name, normal, topic.longest)
+			}
+			hops := time.Duration(1)
+			if want > defaultConfiguration {
+				hops += feeders
+			}
+			if noticed := topic.longest + hops*crlrelay.FollowWait; noticed > want-want/64 {
+				t.Errorf("bound %s: old confirmations of %s are noticed after %s", bound, topic.name, noticed)
+			}
+		}
+	}
+}
