Pass a newer roster on to the source

A follower now sends its roster to a source whose roster is older.

Evidence: TestRosterReachesTheSource failed in the cases 'older' (generation 21 instead of 23) and 'none' (1), and passes.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -54,18 +54,19 @@
 
 // Follower keeps this daemon's replicas up to date from those of another daemon, the source.
 type Follower struct {
-	config      FollowerConfig
-	mu          sync.Mutex // guards the fields down to storeFrom; those below belong to the goroutine of Run
-	roster      Roster
-	place       place            // of this daemon in the roster, or among the seeds while the roster has no members
-	freshUntil  crlclock.Instant // until when the confirmations received from peers are within MaxAge, 0 at first
-	seeds       []Member         // sources to try while the roster has no members
-	heard       atomic.Bool      // whether a source has answered
-	drawn       float64          // part of the longest patience that this daemon has, from 0 to 1
-	storeFrom   crlclock.Instant // from when this daemon may read the store for want of a source
-	source      Member
-	cursors     map[Topic]Cursor
-	incarnation crlid.Incarnation // incarnation of the source when it sent the cursors; empty before its first response
+	config       FollowerConfig
+	mu           sync.Mutex // guards the fields down to storeFrom; those below belong to the goroutine of Run
+	roster       Roster
+	place        place            // of this daemon in the roster, or among the seeds while the roster has no members
+	freshUntil   crlclock.Instant // until when the confirmations received from peers are within MaxAge, 0 at first
+	seeds        []Member         // sources to try while the roster has no members
+	heard        atomic.Bool      // whether a source has answered
+	drawn        float64          // part of the longest patience that this daemon has, from 0 to 1
+	storeFrom    crlclock.Instant // from when this daemon may read the store for want of a source
+	source       Member
+	cursors      map[Topic]Cursor
+	sourceBehind bool              // whether the source's roster was older than this daemon's in its latest response
+	incarnation  crlid.Incarnation // incarnation of the source when it sent the cursors; empty before its first response
 	// exchangedWith is the incarnation of the source that got the Exchange's first message; another one needs that message too.
 	exchangedWith crlid.Incarnation
 	failures      int // calls without usable confirmations, reset retryPreferredAfter after the latest; selects the source
@@ -212,7 +213,7 @@
 // follow makes one call to a source, applies the response, and reports whether its confirmations are within MaxAge.
 func (f *Follower) follow(ctx context.Context, source Member) bool {
 	if source.Address != f.source.Address {
-		f.source, f.incarnation = source, ""
+		f.source, f.incarnation, f.sourceBehind = source, "", false
 		clear(f.cursors)
 		f.config.Log.Event(EventSource, slog.String("source", source.Address), slog.Int("given-up", f.failures),
 			slog.String("cause", f.cause))
@@ -222,7 +223,7 @@
 	isNew := f.incarnation == "" || f.exchangedWith != f.incarnation
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, FollowRequest{
 		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), MaxWait: Milliseconds(FollowWait.Milliseconds()), RosterDigest: f.Roster().digest(),
-		Self: f.selfWithoutRoster(), Exchange: f.config.Exchange.Request(isNew), Decompresses: true,
+		Self: f.selfWithoutRoster(), Roster: f.rosterForSource(), Exchange: f.config.Exchange.Request(isNew), Decompresses: true,
 	}, &response)
 	if err != nil {
 		f.cause = err.Error()
@@ -233,6 +234,7 @@
 		f.exchangedWith = response.Source
 	}
 	f.incarnation = response.Source // A source with another incarnation has ignored the cursors and sent all records.
+	f.sourceBehind = response.Roster != nil && response.Roster.Generation < f.Roster().Generation
 	if response.Roster != nil {
 		f.UpdateRoster(*response.Roster)
 	}
@@ -264,6 +266,16 @@
 	return &f.config.Self
 }
 
+// rosterForSource returns this daemon's roster if the source has an older one, and nil otherwise. A reader may learn of its part from
+// its followers only.
+func (f *Follower) rosterForSource() *Roster {
+	if !f.sourceBehind {
+		return nil
+	}
+	roster := f.Roster()
+	return &roster
+}
+
 // ends returns the offsets up to which this daemon's loaded replicas are complete.
 func (f *Follower) ends() map[Topic]crlid.Offset {
 	ends := make(map[Topic]crlid.Offset, len(f.config.Replicas))
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -23,6 +23,7 @@
 	Ends         map[Topic]crlid.Offset `json:"ends,omitempty"`     // offsets up to which the follower's replicas are complete; used if the cursors aren't
 	MaxWait      Milliseconds           `json:"wait-ms"`            // limit on how long the call is held when nothing changed
 	Self         *Member                `json:"self,omitempty"`     // the follower, if it knows no roster
+	Roster       *Roster                `json:"members,omitempty"`  // the follower's roster, if it is newer than the source's
 	RosterDigest uint64                 `json:"roster"`             // digest of the roster that the follower has
 	Exchange     json.RawMessage        `json:"exchange,omitempty"` // message of the follower's Exchange
 	// Decompresses reports whether the follower takes compressed records; daemons of earlier versions don't.
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -352,3 +352,51 @@
 		t.Errorf("%d of 74 sources were called, want all", len(seen))
 	}
 }
+
+// TestRosterReachesTheSource guards against daemons that wait for each other, because the one that a newer roster makes a reader learns it from
+// nobody: the daemon that it follows has an older roster, and its followers have the newer one.
+func TestRosterReachesTheSource(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		source, want int64 // generation of the source's roster at first, and at the end
+		follower     int64
+	}{
+		{name: "older", source: 21, follower: 23, want: 23},
+		{name: "none", source: 0, follower: 23, want: 23},
+		{name: "newer", source: 25, follower: 23, want: 25},
+		{name: "same", source: 23, follower: 23, want: 23},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now := crlclock.NewMonotonic()
+				source, other := newDaemon("a", now), newDaemon("b", now)
+				source.replica.Replace(nil, 0)
+				n := newNetwork(map[string]*testDaemon{"a": source, "b": other})
+				sourceFollower := newFollower(source, n, "a")
+				source.server = NewServer(ServerConfig{
+					Self: "a", Replicas: map[Topic]*Replica{testTopic: source.replica}, Now: now,
+					Roster: sourceFollower.Roster, UpdateRoster: sourceFollower.UpdateRoster,
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				go confirmPeriodically(ctx, source)
+				f := newFollower(other, n, "b")
+				roster := Roster{Members: []Member{{Address: "a"}, {Address: "x"}, {Address: "b"}}}
+				roster.Generation = test.follower
+				f.UpdateRoster(roster)
+				if roster.Generation = test.source; test.source > 0 {
+					sourceFollower.UpdateRoster(roster)
+				}
+				go func() { _ = f.Run(ctx) }()
+				time.Sleep(2 * time.Second)
+				if got := sourceFollower.Roster().Generation; got != test.want {
+					t.Errorf("the source has the roster of generation %d, want %d", got, test.want)
+				}
+				if got := f.Roster().Generation; got != test.want {
+					t.Errorf("the follower has the roster of generation %d, want %d", got, test.want)
+				}
+				cancel()
+				time.Sleep(time.Second) // Let calls in flight return.
+			})
+		})
+	}
+}
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -18,8 +18,10 @@
 	Self     crlid.Incarnation // incarnation of this daemon, sent to followers as the source of their cursors
 	Replicas map[Topic]*Replica
 	Roster   func() Roster
-	Now      crlclock.Clock
-	Exchange Exchange // nil for none
+	// UpdateRoster receives the roster of a follower whose roster is newer; nil ignores it.
+	UpdateRoster func(Roster)
+	Now          crlclock.Clock
+	Exchange     Exchange // nil for none
 }
 
 // Server answers the calls of followers.
@@ -39,6 +41,9 @@
 	if request.Source != s.config.Self {
 		request.Cursors = nil
 	}
+	if request.Roster != nil && s.config.UpdateRoster != nil {
+		s.config.UpdateRoster(*request.Roster)
+	}
 	receivedAt := s.config.Now()
 	if sources := s.redirect(request); sources != nil {
 		return FollowResponse{Source: s.config.Self, Sources: sources}, nil
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -312,7 +312,8 @@
 	}
 	mux := crlpeer.NewMux()
 	mux.Register(crlrelay.MethodFollow, crlpeer.Typed(crlrelay.NewServer(crlrelay.ServerConfig{
-		Address: s.PeerListen, Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Now: r.config.Clock, Exchange: r.evidence,
+		Address: s.PeerListen, Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, UpdateRoster: r.follower.UpdateRoster,
+		Now: r.config.Clock, Exchange: r.evidence,
 	}).Follow))
 	group.Add(func() error { return mux.Serve(taskCtx, peers) }, func(error) { _ = peers.Close() })
 	probe := &http.Server{Handler: r.probeHandler(), ReadHeaderTimeout: probeHeaderTimeout}
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -159,8 +159,8 @@
 		Reload: func() (*Settings, error) { return nil, errors.New("no file") },
 	})
 	c.serve(ctx, n, crlrelay.NewServer(crlrelay.ServerConfig{
-		Address: address(n), Self: started.incarnation, Replicas: started.replicas, Roster: started.follower.Roster, Now: c.clock,
-		Exchange: started.evidence,
+		Address: address(n), Self: started.incarnation, Replicas: started.replicas, Roster: started.follower.Roster,
+		UpdateRoster: started.follower.UpdateRoster, Now: c.clock, Exchange: started.evidence,
 	}))
 	for _, task := range started.tasks() {
 		go func() { _ = task(ctx) }()
