--- /dev/null
+++ b/crlforward/unframed_test.go
@@ -0,0 +1,52 @@
+package crlforward
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// endsAfter returns a step whose answer has neither a length nor chunks, and whose connection is closed after text.
+func endsAfter(text string) step { return answers(text) }
+
+// endsChunked returns a step with an answer in chunks that ends as complete after text.
+func endsChunked(text string) step {
+	return func(r *http.Request) (*http.Response, error) {
+		connect(r)
+		response := newResponse(r, http.StatusOK, signed, strings.NewReader(text))
+		response.TransferEncoding = []string{"chunked"}
+		return response, nil
+	}
+}
+
+// TestStreamThatEndsInsideAnEventIsBrokenOff guards against part of a stream that looks complete to its caller, because the server's answer had
+// neither a length nor chunks and ended with its connection when the server crashed.
+func TestStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		path    string
+		steps   []step
+		body    string
+		sends   int
+		aborted bool
+	}{
+		{"complete", "/draft/1", []step{endsAfter(events(1, 3))}, events(1, 3), 1, false},
+		{"inside an event", "/draft/1", []step{endsAfter(events(1, 2) + "id: 3\nda"), endsAfter(events(3, 5))}, events(1, 5), 2, false},
+		{"before the empty line", "/draft/1", []step{endsAfter(events(1, 2) + "id: 3\ndata: token\n"), endsAfter(events(3, 5))}, events(1, 5), 2, false},
+		{"inside an event of a stream that is continued", "/draft/1", []step{
+			breaksAfter(events(1, 2)), endsAfter(events(3, 3) + "id"), endsAfter(events(4, 5)),
+		}, events(1, 5), 3, false},
+		{"inside an event, in chunks", "/draft/1", []step{endsChunked(events(1, 2) + "id: 3\nda"), endsChunked(events(3, 5))}, events(1, 5), 2, false},
+		{"without an event", "/draft/1", []step{endsAfter(""), endsAfter(events(1, 2))}, events(1, 2), 2, false},
+		{"without a further event, in chunks", "/draft/1", []step{breaksAfter(events(1, 2)), endsChunked("")}, events(1, 2), 2, false},
+		{"inside an event, not to be repeated", "/once/1", []step{endsAfter(events(1, 2) + "id")}, events(1, 2), 1, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(tc.steps...)
+			got, aborted := c.call(t.Context(), tc.path, nil)
+			if got.Body.String() != tc.body || aborted != tc.aborted || len(c.backend.sent) != tc.sends {
+				t.Errorf("got %q (aborted %v) after %d sends, want %q (aborted %v) after %d", got.Body, aborted, len(c.backend.sent), tc.body, tc.aborted, tc.sends)
+			}
+		})
+	}
+}
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -104,13 +104,17 @@
 	network   *peerNetwork
 	clock     crlclock.Clock
 	codec     Codec
+	dialect   crlforward.Dialect
 	transport http.RoundTripper // carries sends to backend servers
 	grace     time.Duration     // Bounds.Grace of the routers
 	wire      *crlfake.Network  // carries calls between routers, encoded, instead of network; nil for none
 }
 
 func newCluster(store *memoryStore) *cluster {
-	return &cluster{store: store, network: &peerNetwork{servers: make(map[string]*crlrelay.Server)}, clock: crlclock.NewMonotonic(), codec: testCodec{}}
+	return &cluster{
+		store: store, network: &peerNetwork{servers: make(map[string]*crlrelay.Server)}, clock: crlclock.NewMonotonic(), codec: testCodec{},
+		dialect: testDialect{},
+	}
 }
 
 func address(n int) string { return fmt.Sprintf("10.0.0.%d:1", n) }
@@ -151,10 +155,10 @@
 	started := New(Config{
 		Settings: &Settings{
 			Daemon: crlid.Daemon(address(n)), Domain: "near", PeerListen: address(n), Seeds: seeds, Strength: n,
-			Bounds: Bounds{RetryWindow: 10 * time.Second, Grace: c.grace},
+			Bounds: Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.9, RetrySlack: 50, Grace: c.grace},
 		},
 		Store: view, Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
-		Codec: c.codec, Dialect: testDialect{}, Peers: c.peers(n), Transport: c.transport,
+		Codec: c.codec, Dialect: c.dialect, Peers: c.peers(n), Transport: c.transport,
 		Logger: crllog.New(crllog.Config{Output: io.Discard}), Clock: c.clock,
 		Reload: func() (*Settings, error) { return nil, errors.New("no file") },
 	})
