Treat a stream that ends inside an event as broken off

An answer may have neither a length nor chunks and end with its connection. When its server crashed, the caller got a part of the stream that looked complete. A stream that ends inside an event, or without any while nothing else marks its end, counts as broken off now: it goes on at another server, or its connection to the caller is aborted. Such an answer of a smaller model doesn't serve in place of the larger one's either.

TestBrokenAnswerIsNoFallback is new: both broken answers were sent with status 200 before.

--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -22,6 +22,14 @@
 // maxEventBytes bounds the size of one event of a stream.
 const maxEventBytes = 1 << 20
 
+// errInsideEvent ends a send whose stream ends where no event does, which is where its server broke it off.
+var errInsideEvent = errors.New("stream ended inside an event or before the first")
+
+// isUnframed reports whether an answer has neither a length nor chunks, so that it ends with its connection, whatever the reason.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // relayStream copies the events of a stream to the caller as they arrive. In a stream that continues another server's,
 // events that the caller has are skipped, and an event number other than the next one ends the send.
 func (s *Service) relayStream(
@@ -41,8 +49,11 @@
 	defer comparison.recordPace()
 	fresh := !x.stream.started // no earlier send has given the caller part of the answer
 	controller := http.NewResponseController(x.writer)
-	for {
+	for count := 0; ; count++ {
 		event, err := events.next()
+		if errors.Is(err, io.EOF) && (len(event) > 0 || count == 0 && isUnframed(response)) {
+			err = errInsideEvent
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return s.handleBrokenStream(ctx, x, err)
 		}
@@ -101,7 +112,7 @@
 	stop := time.AfterFunc(fallbackReadTimeout, func() { _ = response.Body.Close() })
 	defer stop.Stop()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxFallbackBytes+1))
-	if err != nil || len(body) > maxFallbackBytes {
+	if err != nil || len(body) > maxFallbackBytes || endsInsideEvent(body) || len(body) == 0 && isUnframed(response) {
 		return // Only a complete answer can serve as the fallback.
 	}
 	x.fallback = &reply{status: response.StatusCode, header: response.Header, body: body}
@@ -157,6 +168,16 @@
 	return nil, errors.New("stream event is larger than 1 MiB")
 }
 
+// endsInsideEvent reports whether the text of a stream ends where no event does.
+func endsInsideEvent(text []byte) bool {
+	events := bufio.NewReader(bytes.NewReader(text))
+	for {
+		if event, err := readEvent(events); err != nil {
+			return len(event) > 0
+		}
+	}
+}
+
 var idField = []byte("id:")
 
 // eventID returns the number in an event's id field; ok is false if the field is missing or not a number.
--- a/crlforward/unframed_test.go
+++ b/crlforward/unframed_test.go
@@ -50,3 +50,29 @@
 		})
 	}
 }
+
+// TestBrokenAnswerIsNoFallback guards against a smaller model's answer that broke off inside an event and is sent in place of the larger
+// model's, which failed.
+func TestBrokenAnswerIsNoFallback(t *testing.T) {
+	unsure := func(text string) step {
+		return func(r *http.Request) (*http.Response, error) {
+			connect(r)
+			return newResponse(r, http.StatusOK, map[string]string{"X-Signed": "yes", "X-Confidence": "20"}, strings.NewReader(text)), nil
+		}
+	}
+	for _, tc := range []struct {
+		name, text string
+		status     int
+	}{
+		{"complete", events(1, 2), http.StatusOK},
+		{"inside an event", events(1, 1) + "id: 2", http.StatusBadGateway},
+		{"without an event", "", http.StatusBadGateway},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(unsure(tc.text), losesAnswer, losesAnswer)
+			if got, _ := c.call(t.Context(), "/draft/1", map[string]string{"X-Output": "20"}); got.Code != tc.status {
+				t.Errorf("got %d %q, want %d", got.Code, got.Body, tc.status)
+			}
+		})
+	}
+}
