Keep requests from servers if a part of their prompts crashes each of them

Callers lost half of their answers while one request in 20 of one class crashed server after server: 26 to 70 crashes in 22 s, and each broke the streams of all others there. A failed send counted against its server only, so the request went on to two more servers, and the next one with the same part was taken as any other. A crash is told from other ends by its send: a head, and no event. All parts of such a request but the last are suspected (crlquarantine). A part with which two requests have crashed two servers is quarantined: requests with it get 503 with the time of the next try. An answer that begins on a part clears it; parts that only come with a quarantined one are not held against other requests. A request that crashed two servers isn't sent to a third. Records of suspected parts lie in a topic of the store, so that all routers know them within some ms; a quarantined part is tried by one router after 2, 10, 42, ... s.

--- a/cmd/cranberrylock-router/main.go
+++ b/cmd/cranberrylock-router/main.go
@@ -83,8 +83,10 @@
 		Store: platform.NewStore(platform.StoreConfig{
 			Address: settings.StoreAddress, Client: &http.Client{Transport: platform.NewTransport()},
 		}),
-		Topics: crlrouter.Topics{Orders: platform.TopicOrders, Servers: platform.TopicServers, Status: platform.TopicStatus},
-		Codec:  platform.Codec{}, Dialect: platform.Dialect{}, Logger: logger, Clock: crlclock.BootTime, Reload: load, Hangup: hangup,
+		Topics: crlrouter.Topics{
+			Orders: platform.TopicOrders, Servers: platform.TopicServers, Status: platform.TopicStatus, Quarantine: platform.TopicQuarantine,
+		},
+		Codec: platform.Codec{}, Dialect: platform.Dialect{}, Logger: logger, Clock: crlclock.BootTime, Reload: load, Hangup: hangup,
 		Transport: crlforward.NewTransport(),
 	})
 	return router.Run(stop)
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -67,6 +67,9 @@
 
 // prepareSend picks the server of the next send, or returns the refusal that ends the request instead.
 func (s *Service) prepareSend(x *exchange, plan *modelPlan) (*crlfleet.Pick, *Refusal) {
+	if refusal := s.checkQuarantine(x); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := s.checkNextSend(x); refusal != nil {
 		return nil, refusal
 	}
--- a/crlforward/incomplete.go
+++ b/crlforward/incomplete.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"time"
@@ -37,22 +38,47 @@
 	return func() { timer.Stop() }
 }
 
+// errInsideEvent ends a send whose stream ends where no event does, which is where its server broke it off.
+var errInsideEvent = errors.New("stream ended inside an event or before the first")
+
 // eventReader reads the events of a stream. It closes the stream when an event that has begun is not complete in time.
 type eventReader struct {
 	events *bufio.Reader
 	timer  *time.Timer
+	framed bool // whether the answer has a length or chunks; any other ends with its connection, whatever the reason
+	count  int  // events so far
 }
 
-// newEventReader returns a reader of a body's events. stop must be called at the end of its use.
-func newEventReader(body io.ReadCloser) (r *eventReader, stop func()) {
+// newEventReader returns a reader of an answer's events. stop must be called at the end of its use.
+func newEventReader(response *http.Response) (r *eventReader, stop func()) {
+	body := response.Body
 	// The timer runs only while an event is incomplete.
-	r = &eventReader{events: bufio.NewReader(body), timer: time.AfterFunc(longestWait, func() { _ = body.Close() })}
+	r = &eventReader{
+		events: bufio.NewReader(body), timer: time.AfterFunc(longestWait, func() { _ = body.Close() }), framed: isFramed(response),
+	}
 	r.timer.Stop()
 	return r, func() { r.timer.Stop() }
 }
 
-// next returns the next event; see readEvent.
+// isFramed reports whether an answer has a length or chunks.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// next returns the next event, io.EOF at the end of the stream, or errInsideEvent if it ends where it can't be complete.
 func (r *eventReader) next() ([]byte, error) {
+	event, err := r.read()
+	switch {
+	case err == nil:
+		r.count++
+	case errors.Is(err, io.EOF) && (len(event) > 0 || r.count == 0 && !r.framed):
+		return nil, errInsideEvent
+	}
+	return event, err
+}
+
+// read returns what readEvent does, within completeTimeout once the event has begun.
+func (r *eventReader) read() ([]byte, error) {
 	if _, err := r.events.Peek(1); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/crlforward/quarantine_test.go
@@ -0,0 +1,91 @@
+package crlforward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestRequestsThatCrashServers checks how requests end whose servers crash as they begin the answers, and what later requests with a part of their
+// prompts get: after two of them, no server.
+func TestRequestsThatCrashServers(t *testing.T) {
+	crashes := breaksAfter("")
+	unframedCrash := endsAfter("")
+	unsureCrash := func(r *http.Request) (*http.Response, error) {
+		connect(r)
+		header := map[string]string{"X-Signed": "yes", "X-Confidence": "20"}
+		return newResponse(r, http.StatusOK, header, &brokenReader{strings.NewReader(""), errReset}), nil
+	}
+	for _, tc := range []struct {
+		name   string
+		parts  []string // of the requests, one after the other
+		steps  []step
+		status int // of the last request
+		sends  int // of all
+	}{
+		{"one request, two servers", []string{"a,own"}, []step{crashes, crashes}, http.StatusBadGateway, 2},
+		{"second request, one server", []string{"a,own", "a,other"}, []step{crashes, crashes, crashes}, http.StatusBadGateway, 3},
+		{"third request, none", []string{"a,own", "a,other", "a,third"}, []step{crashes, crashes, crashes}, http.StatusServiceUnavailable, 3},
+		{"answers without length or chunks", []string{"a,own", "a,other", "a,third"}, []step{unframedCrash, unframedCrash, unframedCrash}, http.StatusServiceUnavailable, 3},
+		{"smaller models' short answers", []string{"a,own", "a,other", "a,third"}, []step{unsureCrash, crashes, unsureCrash}, http.StatusServiceUnavailable, 3},
+		{"other part", []string{"a,own", "a,other", "b,third"}, []step{crashes, crashes, crashes, answers(events(1, 2))}, http.StatusOK, 4},
+		{"last part only", []string{"own", "own", "own"}, []step{crashes, crashes, crashes, crashes, answers(events(1, 2))}, http.StatusOK, 5},
+		{"broken within the answer", []string{"a,own", "a,other", "a,third"}, []step{
+			breaksAfter(events(1, 1)), answers(events(2, 2)), breaksAfter(events(1, 1)), answers(events(2, 2)), answers(events(1, 2)),
+		}, http.StatusOK, 5},
+		{"without an answer", []string{"a,own", "a,other", "a,third"}, []step{losesAnswer, losesAnswer, answers(events(1, 1)), losesAnswer, answers(events(1, 1)), answers(events(1, 1))}, http.StatusOK, 6},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(tc.steps...)
+				status, retryAfter := 0, ""
+				for _, parts := range tc.parts {
+					header := map[string]string{"X-Parts": parts, "X-Request": parts, "X-Output": "20"}
+					got, _ := c.call(t.Context(), "/draft/1", header)
+					status, retryAfter = got.Code, got.Header().Get("Retry-After")
+				}
+				if status != tc.status || len(c.backend.sent) != tc.sends {
+					t.Errorf("last request got %d after %d sends of all, want %d after %d", status, len(c.backend.sent), tc.status, tc.sends)
+				}
+				if (retryAfter != "") != (tc.status == http.StatusServiceUnavailable) {
+					t.Errorf("status %d has Retry-After %q", status, retryAfter)
+				}
+			})
+		})
+	}
+}
+
+// TestCallersThatLeaveQuarantineNothing guards against parts that are kept from servers because callers leave, or deadlines pass, before
+// answers begin.
+func TestCallersThatLeaveQuarantineNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hangsAfterHead := func(r *http.Request) (*http.Response, error) {
+			connect(r)
+			return newResponse(r, http.StatusOK, signed, waitingReader{r.Context()}), nil
+		}
+		c := newCluster(hangsAfterHead, hangsAfterHead, hangsAfterHead, hangsAfterHead, answers(events(1, 1)))
+		for n := range 4 {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			if n%2 == 0 {
+				ctx, cancel = context.WithCancel(t.Context())
+				time.AfterFunc(100*time.Millisecond, cancel)
+			}
+			c.call(ctx, "/once/1", map[string]string{"X-Parts": "a,own"})
+			cancel()
+		}
+		if got, _ := c.call(t.Context(), "/once/1", map[string]string{"X-Parts": "a,own"}); got.Code != http.StatusOK {
+			t.Errorf("request after four whose callers left: got %d, want 200", got.Code)
+		}
+	})
+}
+
+// waitingReader is a body that ends with its request's context.
+type waitingReader struct{ ctx context.Context } //nolint:containedctx // It is the context of the one request whose body it is.
+
+func (w waitingReader) Read([]byte) (int, error) {
+	<-w.ctx.Done()
+	return 0, w.ctx.Err()
+}
--- a/crlforward/refusal.go
+++ b/crlforward/refusal.go
@@ -28,6 +28,7 @@
 	ReasonNoServer        = "no-backend-server"        // the route has no service, or the service no server that may get the request
 	ReasonNoBudget        = "retry-budget-spent"       // the service's retry budget does not cover one more send
 	ReasonAttempts        = "attempts-spent"           // the request was sent as often as its route allows
+	ReasonCrashes         = "crashes-servers"          // servers crash when they begin to answer the request, or others with a part of its prompt
 	ReasonOutcomeUnknown  = "outcome-unknown"          // a server may have run the request, and it must not be sent again
 	ReasonRouteTimeout    = "route-timeout"            // the route's timeout has passed
 	ReasonDeadline        = "deadline"                 // the caller's deadline, or the router's longest wait, has passed
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -22,41 +22,34 @@
 // maxEventBytes bounds the size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// errInsideEvent ends a send whose stream ends where no event does, which is where its server broke it off.
-var errInsideEvent = errors.New("stream ended inside an event or before the first")
-
-// isUnframed reports whether an answer has neither a length nor chunks, so that it ends with its connection, whatever the reason.
-func isUnframed(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // relayStream copies the events of a stream to the caller as they arrive. In a stream that continues another server's,
 // events that the caller has are skipped, and an event number other than the next one ends the send.
 func (s *Service) relayStream(
-	ctx context.Context, x *exchange, response *http.Response, head AnswerHead, plan *modelPlan, comparison *comparison,
+	ctx context.Context, x *exchange, pick *crlfleet.Pick, response *http.Response, head AnswerHead, plan *modelPlan, comparison *comparison,
 ) (verdict, crlfleet.Outcome) {
 	if !head.Signed {
 		x.trace.cause = "backend server's success answer has no signature"
 		return s.retryVerdict(x), crlfleet.OutcomeFailed
 	}
 	if s.shouldEscalate(x, head, plan) {
-		x.trace.confidence = head.Confidence
-		x.readFallback(response)
-		return verdictEscalate, crlfleet.OutcomeAnswered
+		return s.escalate(ctx, x, pick, response, head)
 	}
-	events, stop := newEventReader(response.Body)
+	events, stop := newEventReader(response)
 	defer stop()
 	defer comparison.recordPace()
 	fresh := !x.stream.started // no earlier send has given the caller part of the answer
 	controller := http.NewResponseController(x.writer)
-	for count := 0; ; count++ {
+	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) && (len(event) > 0 || count == 0 && isUnframed(response)) {
-			err = errInsideEvent
-		}
 		if err != nil && !errors.Is(err, io.EOF) {
+			if events.count == 0 {
+				s.recordCrash(ctx, x, pick)
+			}
 			return s.handleBrokenStream(ctx, x, err)
 		}
+		if events.count == 1 && err == nil {
+			s.config.Quarantine.RecordStart(x.sharedParts())
+		}
 		comparison.countEvent()
 		id, numbered := eventID(event)
 		if numbered && id <= x.stream.lastEvent {
@@ -92,6 +85,18 @@
 	}
 }
 
+// escalate drops the answer of a smaller model, except for what may serve in place of the larger one's.
+func (s *Service) escalate(
+	ctx context.Context, x *exchange, pick *crlfleet.Pick, response *http.Response, head AnswerHead,
+) (verdict, crlfleet.Outcome) {
+	x.trace.confidence = head.Confidence
+	if x.readFallback(response) {
+		s.recordCrash(ctx, x, pick)
+		return verdictEscalate, failureOutcome(ctx)
+	}
+	return verdictEscalate, crlfleet.OutcomeAnswered
+}
+
 const (
 	maxFallbackTokens   = 40                    // the smallest model completes an answer of this length within fallbackReadTimeout
 	fallbackReadTimeout = 60 * time.Millisecond // a small fraction of the latency objectives, which are 1 s or more
@@ -100,22 +105,24 @@
 
 // readFallback reads a short answer to its end before the request is escalated to a larger model, so that it can be sent if
 // the larger model does not start to answer within the latency objective. Reading to the end also ensures that no two
-// servers work on the request at once.
-func (x *exchange) readFallback(response *http.Response) {
+// servers work on the request at once. It reports whether the server broke the answer off before its first event.
+func (x *exchange) readFallback(response *http.Response) (broken bool) {
 	expected := x.head.MaxAnswerTokens
 	if x.head.ExpectedAnswerTokens > 0 {
 		expected = min(expected, x.head.ExpectedAnswerTokens)
 	}
 	if expected == 0 || expected > maxFallbackTokens || x.route.Objective == 0 {
-		return
+		return false
 	}
 	stop := time.AfterFunc(fallbackReadTimeout, func() { _ = response.Body.Close() })
-	defer stop.Stop()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxFallbackBytes+1))
-	if err != nil || len(body) > maxFallbackBytes || endsInsideEvent(body) || len(body) == 0 && isUnframed(response) {
-		return // Only a complete answer can serve as the fallback.
+	inTime := stop.Stop()
+	if err != nil || len(body) > maxFallbackBytes || endsInsideEvent(body) || len(body) == 0 && !isFramed(response) {
+		// Only a complete answer can serve as the fallback.
+		return inTime && !hasEvent(body)
 	}
 	x.fallback = &reply{status: response.StatusCode, header: response.Header, body: body}
+	return false
 }
 
 // writeFallback sends the fallback answer to the caller and returns true, if there is one and the caller got nothing yet.
@@ -178,6 +185,12 @@
 	}
 }
 
+// hasEvent reports whether the text of a stream has a complete event.
+func hasEvent(text []byte) bool {
+	_, err := readEvent(bufio.NewReader(bytes.NewReader(text)))
+	return err == nil
+}
+
 var idField = []byte("id:")
 
 // eventID returns the number in an event's id field; ok is false if the field is missing or not a number.
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -108,7 +108,7 @@
 	}
 	var v verdict
 	if response.StatusCode < http.StatusMultipleChoices && x.route.Kind == crlroute.KindStream {
-		v, result.Outcome = s.relayStream(ctx, x, response, head, plan, comparison)
+		v, result.Outcome = s.relayStream(ctx, x, pick, response, head, plan, comparison)
 	} else {
 		v, result.Outcome = s.relayPlain(ctx, x, response, head)
 	}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -16,6 +16,7 @@
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
 	"github.com/cranberrylock/cranberrylock/crlroute"
 )
@@ -33,6 +34,7 @@
 	State              func() State // returns the newest known configuration; called for each request
 	Fleet              *crlfleet.Fleet
 	Rollouts           *crlrollout.Tracker
+	Quarantine         *crlquarantine.Registry // parts of prompts that crash servers; nil for one that only this Service feeds
 	Retries            *crlbudget.RetryBudget
 	Transport          http.RoundTripper
 	Probe              Probe // checks unresponsive servers; nil opens a TCP connection
@@ -63,6 +65,9 @@
 
 // New returns a service, which needs no further start.
 func New(config Config) *Service {
+	if config.Quarantine == nil {
+		config.Quarantine = crlquarantine.New(crlquarantine.Config{Now: config.Now})
+	}
 	s := &Service{
 		config: config, sessions: newSessions(config.SessionTimeout), timeFactors: newTimeFactors(), probes: newProbes(config.Probe),
 	}
@@ -124,6 +129,8 @@
 	failedDials   int                   // sends of the started stream that opened no connection; not counted in sends
 	reached       bool                  // whether a server may have received the request
 	retryPaid     bool                  // whether the retry budget was charged for the next send
+	crashes       int                   // sends whose answer broke off before it had an event
+	parts         []crlquarantine.Part  // see sharedParts
 	runs          int                   // sends after which a server may have started to execute the request
 	tried         map[crlid.Server]bool // servers that the request was sent to
 	lastFailure   *reply                // last answer with a 5xx status
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -40,6 +40,11 @@
 	if head.Request == "" {
 		return head, errors.New("no request id")
 	}
+	if text := h.Get("X-Parts"); text != "" {
+		for _, id := range strings.Split(text, ",") {
+			head.Parts = append(head.Parts, Part{ID: id, Tokens: 100})
+		}
+	}
 	if n, err := strconv.Atoi(h.Get("X-Output")); err == nil {
 		head.MaxAnswerTokens = crlid.Tokens(n)
 	}
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -34,6 +34,7 @@
 	status          int
 	confidence      int
 	confirmationAge time.Duration
+	part            string // the quarantined part of the request's prompt
 	sends           []sendTrace
 }
 
@@ -77,6 +78,9 @@
 	if x.trace.confirmationAge > 0 {
 		attributes = append(attributes, slog.Duration("proof-age-ms", x.trace.confirmationAge))
 	}
+	if x.trace.part != "" {
+		attributes = append(attributes, slog.String("part", x.trace.part))
+	}
 	if status == 0 || s.Draining() {
 		attributes = append(attributes, s.cutAttributes(x)...)
 	}
--- /dev/null
+++ b/crlquarantine/registry.go
@@ -0,0 +1,307 @@
+package crlquarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+)
+
+// Config configures a Registry.
+type Config struct {
+	// Owns reports whether this daemon is the one that sends probes with a part and deletes old records; nil for a daemon that does neither.
+	Owns func(Part) bool
+	Now  crlclock.Clock
+	// OnTransition is called when a part is quarantined or released, with the registry locked; nil for none.
+	OnTransition func(Transition)
+}
+
+// Transition is the start or end of the quarantine of a part.
+type Transition struct {
+	Record      Record
+	Quarantined bool
+	Cause       string
+}
+
+// Registry holds the records of suspected parts.
+type Registry struct {
+	config  Config
+	mu      sync.Mutex                // guards the fields below
+	entries map[Part]*entry           // at most maxEntries
+	started map[Part]crlclock.Instant // when an answer with the part began last at this daemon; at most maxStarted
+	changed chan struct{}             // holds a token when there are changes to write
+}
+
+// entry is the record of a part with its state at this daemon.
+type entry struct {
+	record    Record
+	changedAt crlclock.Instant
+	stored    bool // the store has a record of the part
+	dirty     bool // the record has what the store doesn't
+	cleared   bool // an answer has begun or the record is old, so the store's record is to be deleted
+	// quarantined is record.quarantined().
+	quarantined bool
+}
+
+const (
+	maxEntries = 256
+	maxStarted = 4096
+	// startedWithin is the time for which a part is not suspected after an answer on it has begun. A part that others use all the time is
+	// in the requests of most crashes.
+	startedWithin = 2 * time.Second
+	// suspicionTime is the time after its latest crash for which a part that isn't quarantined stays suspected.
+	suspicionTime = time.Minute
+	// quarantineTime is the time without crash or probe after which a record is deleted, as no more requests with its part come.
+	quarantineTime = 30 * time.Minute
+	firstProbe     = 2 * time.Second // time from the latest crash to the first probe
+	probeFactor    = 4               // by which the time to the next probe grows with each
+	maxProbeTime   = 10 * time.Minute
+	maxParts       = 16 // parts of one request that are suspected
+	minRetryAfter  = time.Second
+	maxRetryAfter  = 30 * time.Second
+	retrySpread    = 300 * time.Millisecond // over which callers are told to return
+)
+
+// New returns a Registry without records.
+func New(config Config) *Registry {
+	if config.Owns == nil {
+		config.Owns = func(Part) bool { return false }
+	}
+	if config.OnTransition == nil {
+		config.OnTransition = func(Transition) {}
+	}
+	return &Registry{
+		config: config, entries: make(map[Part]*entry), started: make(map[Part]crlclock.Instant), changed: make(chan struct{}, 1),
+	}
+}
+
+// Verdict is the decision on a request.
+type Verdict struct {
+	Quarantined bool
+	Part        Part          // the quarantined part
+	RetryAfter  time.Duration // time after which the request may be sent, as far as is known
+}
+
+// Check decides whether a request with the given parts may be sent to a server. If it decides that a request with a quarantined part is
+// sent as a probe, it records that.
+func (r *Registry) Check(parts []Part) Verdict {
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.entries) == 0 {
+		return Verdict{}
+	}
+	var blocking []*entry
+	for _, p := range parts {
+		if e := r.entries[p]; e != nil && e.quarantined && !r.explainedWithout(e, parts) {
+			blocking = append(blocking, e)
+		}
+	}
+	if len(blocking) == 0 {
+		return Verdict{}
+	}
+	e := blocking[0]
+	// A probe with several quarantined parts would not tell which of them crashes servers.
+	if len(blocking) == 1 && now >= e.nextProbe() && r.config.Owns(e.record.Part) {
+		e.record.Probes++
+		r.touch(e, now)
+		return Verdict{}
+	}
+	return Verdict{Quarantined: true, Part: e.record.Part, RetryAfter: retryAfter(e.nextProbe().Sub(now))}
+}
+
+// explainedWithout reports whether a quarantined part that a request lacks explains all crashes of one of its parts.
+func (r *Registry) explainedWithout(e *entry, parts []Part) bool {
+	for part, other := range r.entries {
+		if other.quarantined && !slices.Contains(parts, part) && other.record.explains(e.record) {
+			return true
+		}
+	}
+	return false
+}
+
+// nextProbe returns the earliest moment of the next probe.
+func (e *entry) nextProbe() crlclock.Instant {
+	pause := firstProbe
+	for range e.record.Probes {
+		pause = min(pause*probeFactor, maxProbeTime)
+	}
+	return e.changedAt.Add(pause)
+}
+
+// retryAfter returns the time after which a caller is told to return when the next probe is due in the given time.
+func retryAfter(due time.Duration) time.Duration {
+	return min(max(due, minRetryAfter), maxRetryAfter) + rand.N(retrySpread)
+}
+
+// touch records a change of an entry at this daemon, which is to be written to the store. The caller holds the lock.
+func (r *Registry) touch(e *entry, now crlclock.Instant) {
+	e.changedAt, e.dirty = now, true
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// RecordCrash records that a server crashed as it began the answer to a request with the given parts.
+func (r *Registry) RecordCrash(crash Crash, parts []Part) {
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range parts[:min(len(parts), maxParts)] {
+		startedAt, ok := r.started[p]
+		if len(p) > maxPartBytes || ok && now.Sub(startedAt) < startedWithin {
+			continue
+		}
+		e := r.entry(p, now)
+		if e == nil || slices.Contains(e.record.Crashes, crash) {
+			continue
+		}
+		e.cleared = false
+		r.update(e, e.record.merge(Record{Crashes: []Crash{crash}}), "servers crashed")
+		r.touch(e, now)
+	}
+}
+
+// update replaces an entry's record and reports a transition. The caller holds the lock.
+func (r *Registry) update(e *entry, record Record, cause string) {
+	before := e.quarantined
+	e.record, e.quarantined = record, record.quarantined()
+	if e.quarantined != before {
+		r.config.OnTransition(Transition{Record: record, Quarantined: e.quarantined, Cause: cause})
+	}
+}
+
+// entry returns the entry of a part, and adds one if there is none. If there are maxEntries, the one that changed first and isn't
+// quarantined is evicted; nil if there is none. The caller holds the lock.
+func (r *Registry) entry(part Part, now crlclock.Instant) *entry {
+	if e, ok := r.entries[part]; ok {
+		return e
+	}
+	if len(r.entries) >= maxEntries {
+		var oldest *entry
+		for _, e := range r.entries {
+			if !e.quarantined && (oldest == nil || e.changedAt < oldest.changedAt) {
+				oldest = e
+			}
+		}
+		if oldest == nil {
+			return nil
+		}
+		delete(r.entries, oldest.record.Part)
+	}
+	e := &entry{record: Record{Part: part}, changedAt: now}
+	r.entries[part] = e
+	return e
+}
+
+// RecordStart records that an answer to a request with the given parts has begun, which clears them.
+func (r *Registry) RecordStart(parts []Part) {
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range parts[:min(len(parts), maxParts)] {
+		r.noteStarted(p, now)
+		if e := r.entries[p]; e != nil && !e.cleared {
+			r.clear(e, now, "an answer has begun")
+		}
+	}
+}
+
+// noteStarted records when an answer with a part began. The caller holds the lock.
+func (r *Registry) noteStarted(part Part, now crlclock.Instant) {
+	if _, ok := r.started[part]; !ok && len(r.started) >= maxStarted {
+		for p, at := range r.started {
+			if now.Sub(at) >= startedWithin {
+				delete(r.started, p)
+			}
+		}
+		if len(r.started) >= maxStarted {
+			return
+		}
+	}
+	r.started[part] = now
+}
+
+// clear ends the suspicion of a part and has its record deleted. The caller holds the lock.
+func (r *Registry) clear(e *entry, now crlclock.Instant, cause string) {
+	r.update(e, Record{Part: e.record.Part}, cause)
+	if !e.stored {
+		delete(r.entries, e.record.Part)
+		return
+	}
+	e.cleared = true
+	r.touch(e, now)
+}
+
+// Apply merges a record that the store has, and Remove what it no longer has.
+func (r *Registry) Apply(record Record) {
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entry(record.Part, now)
+	if e == nil {
+		return
+	}
+	e.stored = true
+	if e.cleared {
+		return // Its record is deleted next.
+	}
+	merged := e.record.merge(record)
+	e.dirty = len(merged.Crashes) > len(record.Crashes) || merged.Probes > record.Probes
+	e.changedAt = now
+	r.update(e, merged, "servers crashed, as another daemon observed")
+}
+
+// Remove removes the record of a part that the store no longer has.
+func (r *Registry) Remove(part Part) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e, ok := r.entries[part]; ok {
+		r.update(e, Record{Part: part}, "another daemon released it")
+		delete(r.entries, part)
+	}
+}
+
+// Changed returns a channel that gets a token when Due may return changes.
+func (r *Registry) Changed() <-chan struct{} { return r.changed }
+
+// Change is a change of the store's records that is due.
+type Change struct {
+	Record Record
+	Delete bool // the record is to be deleted
+}
+
+// Due returns the changes that this daemon should write to the store, in no particular order. They stay due until Apply or Remove shows them.
+func (r *Registry) Due() (changes []Change) {
+	now := r.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for part, e := range r.entries {
+		limit := suspicionTime
+		if e.quarantined {
+			limit = quarantineTime
+		}
+		if !e.dirty && now.Sub(e.changedAt) > limit && r.config.Owns(part) {
+			r.clear(e, now, "no request for a long time")
+		}
+		if e.dirty {
+			changes = append(changes, Change{Record: e.record, Delete: e.cleared})
+		}
+	}
+	return changes
+}
+
+// Quarantined returns the number of quarantined parts.
+func (r *Registry) Quarantined() (count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.entries {
+		if e.quarantined {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/crlquarantine/registry_test.go
@@ -0,0 +1,268 @@
+package crlquarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+)
+
+// newRegistry returns a registry that owns all parts or none.
+func newRegistry(owns bool) *Registry {
+	return New(Config{Owns: func(Part) bool { return owns }, Now: crlclock.NewMonotonic()})
+}
+
+// crash records the crash of a server with a request.
+func crash(r *Registry, request, server int, parts ...Part) {
+	r.RecordCrash(Crash{Request: crlid.Request(fmt.Sprint("r", request)), Server: crlid.Server(fmt.Sprint("i-", server))}, parts)
+}
+
+// TestPartsAreQuarantined checks after which crashes requests with which parts are kept from servers.
+func TestPartsAreQuarantined(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		crashes func(r *Registry)
+		parts   []Part
+		want    bool
+	}{
+		{"no crash", func(*Registry) {}, []Part{"a", "b"}, false},
+		{"one request", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 1, 2, "a", "b") }, []Part{"a", "b"}, false},
+		{"one server", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 1, "a", "b") }, []Part{"a", "b"}, false},
+		{"two requests", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "c", "b") }, []Part{"d", "b"}, true},
+		{"beside the part", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "c", "b") }, []Part{"a", "c"}, false},
+		{"both parts of all crashes", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "a", "b") }, []Part{"a", "b"}, true},
+		{"one part of all crashes, which the other explains", func(r *Registry) {
+			crash(r, 1, 1, "a", "b")
+			crash(r, 2, 2, "a", "b")
+		}, []Part{"a", "c"}, false},
+		{"the part that explains more", func(r *Registry) {
+			crash(r, 1, 1, "a", "b")
+			crash(r, 2, 2, "a", "b")
+			crash(r, 3, 3, "c", "b")
+		}, []Part{"c", "b"}, true},
+		{"several parts", func(r *Registry) {
+			crash(r, 1, 1, "a")
+			crash(r, 2, 2, "b")
+			crash(r, 3, 3, "a")
+			crash(r, 4, 4, "b")
+		}, []Part{"b"}, true},
+		{"an answer has begun since", func(r *Registry) {
+			crash(r, 1, 1, "a")
+			crash(r, 2, 2, "a")
+			r.RecordStart([]Part{"a"})
+		}, []Part{"a"}, false},
+		{"an answer has begun in between", func(r *Registry) {
+			crash(r, 1, 1, "a")
+			r.RecordStart([]Part{"a"})
+			crash(r, 2, 2, "a")
+		}, []Part{"a"}, false},
+		{"in use just before", func(r *Registry) {
+			r.RecordStart([]Part{"a"})
+			crash(r, 1, 1, "a", "b")
+			crash(r, 2, 2, "a", "b")
+		}, []Part{"a"}, false},
+		{"in use long before", func(r *Registry) {
+			r.RecordStart([]Part{"a"})
+			time.Sleep(startedWithin)
+			crash(r, 1, 1, "a")
+			crash(r, 2, 2, "a")
+		}, []Part{"a"}, true},
+		{"long identifier", func(r *Registry) {
+			crash(r, 1, 1, Part(fmt.Sprintf("%300d", 1)))
+			crash(r, 2, 2, Part(fmt.Sprintf("%300d", 1)))
+		}, []Part{Part(fmt.Sprintf("%300d", 1))}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegistry(false)
+				tc.crashes(r)
+				got := r.Check(tc.parts)
+				if got.Quarantined != tc.want || got.Quarantined && got.RetryAfter < minRetryAfter {
+					t.Errorf("got %+v, want quarantined %v", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// TestProbesBecomeRare checks that the owner of a part sends probes at growing times, and others none.
+func TestProbesBecomeRare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner, other := newRegistry(true), newRegistry(false)
+		for _, r := range []*Registry{owner, other} {
+			crash(r, 1, 1, "a")
+			crash(r, 2, 2, "a")
+		}
+		start := time.Now()
+		var probes []time.Duration
+		for time.Since(start) < time.Hour {
+			time.Sleep(100 * time.Millisecond)
+			if !other.Check([]Part{"a"}).Quarantined {
+				t.Fatal("a daemon that doesn't own the part sends a request with it")
+			}
+			if !owner.Check([]Part{"a"}).Quarantined {
+				probes = append(probes, time.Since(start).Round(time.Second))
+			}
+		}
+		want := []time.Duration{2 * time.Second, 10 * time.Second, 42 * time.Second, 170 * time.Second, 682 * time.Second}
+		if got := probes[:min(len(probes), len(want))]; !cmp.Equal(got, want) || len(probes) > 10 {
+			t.Errorf("probes after %s, want them first after %s and at most 10 in an hour", probes, want)
+		}
+	})
+}
+
+// TestProbeWithSeveralQuarantinedPartsIsNotSent guards against probes that can't tell which part crashes servers.
+func TestProbeWithSeveralQuarantinedPartsIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(true)
+		for n, p := range []Part{"a", "b", "a", "b"} {
+			crash(r, n, n, p)
+		}
+		time.Sleep(time.Minute)
+		if !r.Check([]Part{"a", "b"}).Quarantined {
+			t.Error("a request with two quarantined parts is sent")
+		}
+		if r.Check([]Part{"a"}).Quarantined {
+			t.Error("no probe of a part is sent after a minute")
+		}
+	})
+}
+
+// TestMemoryForSuspectsIsBounded guards against records that grow with the number of parts that callers send, and against quarantines that are
+// forgotten for them.
+func TestMemoryForSuspectsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(false)
+		crash(r, 1, 1, "a")
+		crash(r, 2, 2, "a")
+		for n := range 20000 {
+			time.Sleep(time.Millisecond)
+			part := Part(fmt.Sprint("p", n))
+			crash(r, n, n%9, part)
+			r.RecordStart([]Part{Part(fmt.Sprint("q", n))})
+			r.Apply(Record{Part: Part(fmt.Sprint("s", n)), Crashes: []Crash{{Request: "r", Server: "i"}}})
+		}
+		if len(r.entries) > maxEntries || len(r.started) > maxStarted {
+			t.Errorf("%d records and %d started parts, want at most %d and %d", len(r.entries), len(r.started), maxEntries, maxStarted)
+		}
+		if !r.Check([]Part{"a"}).Quarantined {
+			t.Error("a quarantined part was evicted for parts that are only suspected")
+		}
+	})
+}
+
+// TestOldRecordsAreDeleted checks that the owner of a part deletes its record when no more requests with it come.
+func TestOldRecordsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(true)
+		suspected := Record{Part: "s", Crashes: []Crash{{"r1", "i-1"}}}
+		quarantined := Record{Part: "q", Crashes: []Crash{{"r1", "i-1"}, {"r2", "i-2"}}}
+		r.Apply(suspected)
+		r.Apply(quarantined)
+		deletes := func() (parts []Part) {
+			for _, c := range r.Due() {
+				if c.Delete {
+					parts = append(parts, c.Record.Part)
+					r.Remove(c.Record.Part)
+				}
+			}
+			return parts
+		}
+		for _, step := range []struct {
+			sleep time.Duration
+			want  []Part
+		}{{suspicionTime, nil}, {time.Second, []Part{"s"}}, {quarantineTime - suspicionTime - time.Minute, nil}, {time.Minute, []Part{"q"}}} {
+			time.Sleep(step.sleep)
+			if got := deletes(); !cmp.Equal(got, step.want) {
+				t.Errorf("%s later: deleted %v, want %v", step.sleep, got, step.want)
+			}
+		}
+	})
+}
+
+// TestDaemonsAgree lets daemons observe crashes and begun answers, and write and read the store in random order. Once all changes are written, all
+// hold the same records, which are those of the store.
+func TestDaemonsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := crlclock.Instant(time.Hour)
+		store := make(map[Part]Record)
+		var daemons []*Registry
+		for range 3 {
+			daemons = append(daemons, New(Config{Now: func() crlclock.Instant { return clock }}))
+		}
+		broadcast := func(c Change) {
+			for _, d := range daemons {
+				if c.Delete {
+					d.Remove(c.Record.Part)
+				} else {
+					d.Apply(c.Record)
+				}
+			}
+		}
+		write := func(d *Registry) bool {
+			changes := d.Due()
+			for _, c := range changes {
+				if c.Delete {
+					delete(store, c.Record.Part)
+				} else {
+					store[c.Record.Part] = c.Record
+				}
+				broadcast(c)
+			}
+			return len(changes) > 0
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			clock = clock.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			d := daemons[rapid.IntRange(0, 2).Draw(t, "daemon")]
+			part := Part(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "part"))
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				crash(d, rapid.IntRange(0, 5).Draw(t, "request"), rapid.IntRange(0, 5).Draw(t, "server"), part)
+			case 1:
+				d.RecordStart([]Part{part})
+			default:
+				write(d)
+			}
+		}
+		for round := 0; write(daemons[0]) || write(daemons[1]) || write(daemons[2]); round++ {
+			if round > 20 {
+				t.Fatal("daemons go on writing without new observations")
+			}
+		}
+		for n, d := range daemons {
+			for _, part := range []Part{"a", "b"} {
+				held, ok := d.entries[part]
+				stored, inStore := store[part]
+				if ok != inStore || ok && (held.quarantined != stored.quarantined() || !held.record.explains(stored)) {
+					t.Errorf("daemon %d holds %v of part %s (%v), the store %v (%v)", n, held, part, ok, stored, inStore)
+				}
+			}
+		}
+	})
+}
+
+// TestRecordsAreDecoded checks what is taken for a record.
+func TestRecordsAreDecoded(t *testing.T) {
+	whole := Record{Part: "a", Crashes: []Crash{{"r1", "i-1"}, {"r2", "i-2"}}, Probes: 3}
+	value, err := whole.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode("a", value); err != nil || !cmp.Equal(got, whole) {
+		t.Errorf("got %+v and error %v, want %+v", got, err, whole)
+	}
+	if want := `{"crashes":[{"request":"r1","server":"i-1"},{"request":"r2","server":"i-2"}],"probes":3}`; string(value) != want {
+		t.Errorf("value %s, want %s", value, want)
+	}
+	for _, bad := range []string{"", "[]", "{", `{"crashes":1}`, fmt.Sprintf("%20000d", 1)} {
+		if r, err := Decode("a", []byte(bad)); err == nil {
+			t.Errorf("decoded %.20q to %+v, want an error", bad, r)
+		}
+	}
+}
--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -50,6 +50,7 @@
 	StoreFailing func() bool             // whether this daemon's own reads of the store fail
 	MaxAge       map[Topic]time.Duration // greatest age of each topic's confirmation; if it is older, the follower tries another source
 	Exchange     Exchange                // nil for none
+	Optional     map[Topic]bool          // topics that daemons of earlier versions don't have
 }
 
 // Follower keeps this daemon's replicas up to date from those of another daemon, the source.
@@ -293,7 +294,7 @@
 // that moment, less its age at the source, so it never looks newer than it is.
 func (f *Follower) apply(response FollowResponse, sentAt crlclock.Instant) bool {
 	for topic := range f.config.Replicas {
-		if delta, ok := response.Topics[topic]; !ok || delta.ConfirmationAge < 0 {
+		if delta, ok := response.Topics[topic]; !ok && !f.config.Optional[topic] || ok && delta.ConfirmationAge < 0 {
 			f.cause = string(topic) + " has no confirmation at the source"
 			return false
 		}
@@ -301,7 +302,11 @@
 	freshUntil := crlclock.Instant(math.MaxInt64)
 	detour := f.detour()
 	for _, topic := range f.config.ApplyOrder {
-		replica, delta := f.config.Replicas[topic], response.Topics[topic]
+		replica := f.config.Replicas[topic]
+		delta, ok := response.Topics[topic]
+		if !ok {
+			continue // The source is of an earlier version.
+		}
 		records, err := decodeRecords(delta.Records)
 		if err != nil {
 			f.cause = err.Error()
--- a/crlrouter/listen_test.go
+++ b/crlrouter/listen_test.go
@@ -91,7 +91,7 @@
 		return settings, nil
 	}
 	p.Router = New(Config{
-		Settings: settings, Store: p.store.storeView(0), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
+		Settings: settings, Store: p.store.storeView(0), Topics: Topics{Orders: "orders", Servers: "servers", Status: "status", Quarantine: "quarantine"},
 		Codec: openRouteCodec{}, Dialect: testDialect{}, Peers: c.network, Clock: c.clock, Reload: reload,
 		Logger: crllog.New(crllog.Config{Output: p.output}),
 		Listen: func(_, address string) (net.Listener, error) {
--- /dev/null
+++ b/crlrouter/quarantine.go
@@ -0,0 +1,132 @@
+package crlrouter
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+	"github.com/cranberrylock/cranberrylock/crlquarantine"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
+)
+
+// EventQuarantine is logged when requests with a part of a prompt are kept from backend servers or no longer are, and when that can't be written
+// to the store.
+const EventQuarantine crllog.Event = "quarantine"
+
+const (
+	quarantineCheckInterval = 10 * time.Second       // time between checks for records that are old
+	quarantineRetryPause    = 100 * time.Millisecond // mean pause after a conflict or a failed write
+)
+
+// quarantineLedger keeps a Registry and its topic in the store in step.
+type quarantineLedger struct {
+	registry *crlquarantine.Registry
+	store    KeyedLog
+	topic    string
+	logger   *crllog.Logger
+	replica  *crlrelay.Replica // replica of the topic; a write fails unless the topic ends where the replica does
+}
+
+// ownsPart returns a function that reports whether this daemon holds the slot of a part.
+func ownsPart(slots *crlbudget.SlotLeases, now crlclock.Clock) func(crlquarantine.Part) bool {
+	return func(part crlquarantine.Part) bool {
+		return slots.Holds(crlbudget.Slot(xxhash.Sum64String(string(part))%uint64(slots.Count())), now())
+	}
+}
+
+// logQuarantine returns a function that logs the start and the end of quarantines.
+func logQuarantine(logger *crllog.Logger) func(crlquarantine.Transition) {
+	return func(t crlquarantine.Transition) {
+		logger.Event(EventQuarantine, slog.String("part", string(t.Record.Part)), slog.Bool("quarantined", t.Quarantined),
+			slog.String("cause", t.Cause), slog.Any("crashes", t.Record.Crashes))
+	}
+}
+
+// apply applies records that any daemon wrote.
+func (l *quarantineLedger) apply(records []crlplatform.KeyedRecord, _ crlclock.Instant) {
+	for _, r := range records {
+		part := crlquarantine.Part(r.Key)
+		if r.Deleted {
+			l.registry.Remove(part)
+			continue
+		}
+		record, err := crlquarantine.Decode(part, r.Value)
+		if err != nil {
+			l.logger.Event(EventBadRecord, slog.String("key", r.Key), slog.Int64("offset", int64(r.Offset)), slog.String("cause", err.Error()))
+			continue
+		}
+		l.registry.Apply(record)
+	}
+}
+
+// run writes the changes that are due until ctx ends.
+func (l *quarantineLedger) run(ctx context.Context) error {
+	timer := crlclock.NewTicker(quarantineCheckInterval)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-l.registry.Changed():
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		for ctx.Err() == nil && !l.writeDue(ctx) {
+			// Daemons that see the same crash write at the same time; a random pause separates them.
+			crlclock.Sleep(ctx, quarantineRetryPause/2+rand.N(quarantineRetryPause))
+		}
+	}
+	return ctx.Err()
+}
+
+// writeDue writes the changes that are due, and reports whether none is left.
+func (l *quarantineLedger) writeDue(ctx context.Context) bool {
+	changes := l.registry.Due()
+	if len(changes) == 0 {
+		return true
+	}
+	if !l.replica.Loaded() {
+		return false
+	}
+	for _, change := range changes {
+		if !l.write(ctx, change) {
+			return false
+		}
+	}
+	return len(l.registry.Due()) == 0
+}
+
+// write appends a change on the condition that the topic still ends where the replica does, so that what another daemon has written meanwhile
+// is merged first. It reports whether that succeeded.
+func (l *quarantineLedger) write(ctx context.Context, change crlquarantine.Change) bool {
+	record := crlplatform.KeyedRecord{Key: string(change.Record.Part), Deleted: change.Delete}
+	if !change.Delete {
+		value, err := change.Record.Encode()
+		if err != nil {
+			l.logger.Event(EventBadRecord, slog.String("key", record.Key), slog.String("cause", err.Error()))
+			return true
+		}
+		record.Value = value
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
+	defer cancel()
+	at := l.replica.End()
+	end, err := l.store.AppendAt(callCtx, l.topic, record, at)
+	if err == nil {
+		record.Offset = at
+		l.replica.Apply([]crlplatform.KeyedRecord{record}, end)
+		return true
+	}
+	var conflict *crlplatform.Conflict
+	if !errors.As(err, &conflict) {
+		l.logger.Event(EventQuarantine, slog.String("part", record.Key), slog.String("cause", "not written: "+err.Error()))
+	}
+	return false
+}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
+	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlrelay"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
 )
@@ -32,6 +33,8 @@
 	Orders  string // operators' orders
 	Servers string // backend servers' entries
 	Status  string // status of roll-outs, which routers write
+	// Quarantine holds the suspected parts of prompts, which routers write.
+	Quarantine string
 }
 
 // Config configures a Router.
@@ -58,18 +61,19 @@
 
 // Router is one daemon of a fleet of routers.
 type Router struct {
-	config   Config
-	orders   *orderProcessor
-	servers  *serverEntries
-	reporter *statusReporter
-	members  *membership
-	follower *crlrelay.Follower
-	evidence *evidenceExchange
-	replicas map[crlrelay.Topic]*crlrelay.Replica
-	fleet    *crlfleet.Fleet
-	service  *crlforward.Service
-	registry *prometheus.Registry
-	stop     chan struct{} // closed when Run ends its goroutines
+	config     Config
+	orders     *orderProcessor
+	servers    *serverEntries
+	reporter   *statusReporter
+	members    *membership
+	follower   *crlrelay.Follower
+	evidence   *evidenceExchange
+	quarantine *quarantineLedger
+	replicas   map[crlrelay.Topic]*crlrelay.Replica
+	fleet      *crlfleet.Fleet
+	service    *crlforward.Service
+	registry   *prometheus.Registry
+	stop       chan struct{} // closed when Run ends its goroutines
 
 	incarnation   crlid.Incarnation
 	failingTopics atomic.Int32 // number of topics whose last read from the store failed
@@ -101,8 +105,9 @@
 		StoreFailing: func() bool { return r.failingTopics.Load() > 0 },
 		MaxAge: map[crlrelay.Topic]time.Duration{
 			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
+			topicQuarantine: 2*statusLongPoll + maxRelayDelay,
 		},
-		Exchange: r.evidence,
+		Exchange: r.evidence, Optional: map[crlrelay.Topic]bool{topicQuarantine: true},
 	})
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
@@ -129,12 +134,13 @@
 	})
 	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: r.reporter.apply, Now: config.Clock})
 	r.replicas[topicStatus] = r.reporter.replica
+	r.quarantine = r.newQuarantineLedger()
 	confirmationAge := defaultConfirmationAge
 	if s.Bounds.Revocation > 0 {
 		confirmationAge = time.Duration(confirmationAgeFraction * float64(s.Bounds.Revocation))
 	}
 	r.service = crlforward.New(crlforward.Config{
-		Dialect: config.Dialect, State: r.state, Fleet: r.fleet, Rollouts: rollouts,
+		Dialect: config.Dialect, State: r.state, Fleet: r.fleet, Rollouts: rollouts, Quarantine: r.quarantine.registry,
 		Retries: crlbudget.NewRetryBudget(crlbudget.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Share: r.members.share,
 		}),
@@ -147,6 +153,19 @@
 	return r
 }
 
+// newQuarantineLedger returns the ledger of suspected parts with its replica.
+func (r *Router) newQuarantineLedger() *quarantineLedger {
+	l := &quarantineLedger{
+		registry: crlquarantine.New(crlquarantine.Config{
+			Owns: ownsPart(r.members.slots, r.config.Clock), Now: r.config.Clock, OnTransition: logQuarantine(r.config.Logger),
+		}),
+		store: r.config.Store, topic: r.config.Topics.Quarantine, logger: r.config.Logger,
+	}
+	l.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: l.apply, Now: r.config.Clock})
+	r.replicas[topicQuarantine] = l.replica
+	return l
+}
+
 // isAlone reports whether neither the store nor any other router is known to be reachable.
 func (r *Router) isAlone() bool { return r.follower.ShouldReadStore() && r.failingTopics.Load() > 0 }
 
@@ -169,14 +188,15 @@
 
 // Names of the store's topics in calls between routers.
 const (
-	topicOrders  crlrelay.Topic = "orders"
-	topicServers crlrelay.Topic = "servers"
-	topicStatus  crlrelay.Topic = "status"
+	topicOrders     crlrelay.Topic = "orders"
+	topicServers    crlrelay.Topic = "servers"
+	topicStatus     crlrelay.Topic = "status"
+	topicQuarantine crlrelay.Topic = "quarantine"
 )
 
 // topicApplyOrder is the order in which changes of the topics are applied: a crlrollout.Tracker needs the status of a roll-out
 // before its order.
-var topicApplyOrder = []crlrelay.Topic{topicStatus, topicOrders, topicServers}
+var topicApplyOrder = []crlrelay.Topic{topicStatus, topicOrders, topicServers, topicQuarantine}
 
 const (
 	// peerConnectTimeout is many times the round trip between failure domains.
@@ -210,6 +230,9 @@
 		}),
 		gauge("shared_limits_part", "The daemon's part of limits that all daemons share.", r.members.share),
 		gauge("open_requests", "Requests that are held.", func() float64 { return float64(r.service.OpenRequests()) }),
+		gauge("quarantined_parts", "Parts of prompts that are kept from backend servers.", func() float64 {
+			return float64(r.quarantine.registry.Quarantined())
+		}),
 		gauge("log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(r.config.Logger.Dropped()) }),
 	}
 }
@@ -257,6 +280,9 @@
 func (r *Router) tasks() []func(context.Context) error {
 	status := r.newWatcher(watcherConfig{topic: r.config.Topics.Status, replica: r.replicas[topicStatus], longPoll: statusLongPoll})
 	orders := r.newWatcher(watcherConfig{topic: r.config.Topics.Orders, replica: r.replicas[topicOrders], longPoll: r.config.Settings.Bounds.ordersLongPoll()})
+	quarantine := r.newWatcher(watcherConfig{
+		topic: r.config.Topics.Quarantine, replica: r.replicas[topicQuarantine], longPoll: statusLongPoll,
+	})
 	servers := r.newWatcher(watcherConfig{
 		topic: r.config.Topics.Servers, replica: r.replicas[topicServers], pause: r.config.Settings.Bounds.serversPause(),
 	})
@@ -268,7 +294,7 @@
 		return orders.run(ctx)
 	}
 	return []func(context.Context) error{
-		status.run, ordersAfterStatus, servers.run, r.servers.run, r.reporter.run, r.members.run, r.follower.Run,
+		status.run, ordersAfterStatus, servers.run, quarantine.run, r.servers.run, r.reporter.run, r.quarantine.run, r.members.run, r.follower.Run,
 	}
 }
 
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -157,7 +157,7 @@
 			Daemon: crlid.Daemon(address(n)), Domain: "near", PeerListen: address(n), Seeds: seeds, Strength: n,
 			Bounds: Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.9, RetrySlack: 50, Grace: c.grace},
 		},
-		Store: view, Topics: Topics{Orders: "orders", Servers: "servers", Status: "status"},
+		Store: view, Topics: Topics{Orders: "orders", Servers: "servers", Status: "status", Quarantine: "quarantine"},
 		Codec: c.codec, Dialect: c.dialect, Peers: c.peers(n), Transport: c.transport,
 		Logger: crllog.New(crllog.Config{Output: io.Discard}), Clock: c.clock,
 		Reload: func() (*Settings, error) { return nil, errors.New("no file") },
