Forget deletions of keys after many others

Found while bounding the memory for suspected parts: a replica kept a record of each key that was ever deleted, in every router and for good, so that it grew with each server that left and would have grown with each part that was cleared. It keeps 1,024 of them now. A follower that may have missed one that was dropped gets all records and thereby which keys there are; an old record of a key that isn't held is ignored.

--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -400,3 +400,56 @@
 		})
 	}
 }
+
+// TestDeletedKeysAreForgotten guards against replicas that grow with each key that was ever deleted, and against followers that keep a key, or
+// get one back, because its deletion was forgotten.
+func TestDeletedKeysAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := crlclock.NewMonotonic()
+		source, direct, late, restarted := newDaemon("a", now), newDaemon("b", now), newDaemon("c", now), newDaemon("d", now)
+		var offset crlid.Offset
+		put := func(key, value string) {
+			source.replica.Apply([]crlplatform.KeyedRecord{record(key, offset, value)}, offset+1)
+			offset++
+		}
+		for _, d := range []*testDaemon{source, late} {
+			d.replica.Replace([]crlplatform.KeyedRecord{record("early", 0, "in"), record("kept", 1, "in")}, 2)
+		}
+		offset = 2
+		follow := func(d *testDaemon, cursors map[Topic]Cursor, ends map[Topic]crlid.Offset) Cursor {
+			response, err := source.server.Follow(t.Context(), FollowRequest{Source: "a", Cursors: cursors, Ends: ends})
+			if err != nil {
+				t.Fatal(err)
+			}
+			delta := response.Topics[testTopic]
+			records, err := decodeRecords(delta.Records)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if delta.Full {
+				d.replica.Replace(records, delta.End)
+			} else {
+				d.replica.Apply(records, delta.End)
+			}
+			return delta.Cursor
+		}
+		cursor := follow(direct, nil, nil)
+		put("early", "")
+		for n := range 4 * maxDeleted {
+			put(fmt.Sprint("k", n), "in")
+			put(fmt.Sprint("k", n), "")
+		}
+		if got := len(source.replica.records); got > maxDeleted+1 {
+			t.Errorf("the replica holds %d records, want at most %d", got, maxDeleted+1)
+		}
+		follow(direct, map[Topic]Cursor{testTopic: cursor}, nil)
+		follow(late, nil, map[Topic]crlid.Offset{testTopic: 2})
+		follow(restarted, nil, nil)
+		source.replica.Apply([]crlplatform.KeyedRecord{record("early", 0, "in")}, 1) // An old record that arrives late.
+		for name, d := range map[string]*testDaemon{"source": source, "follower": direct, "follower without cursor": late, "new follower": restarted} {
+			if got := d.contents(); got != "map[kept:in]" {
+				t.Errorf("%s holds %s, want only the key that was not deleted", name, got)
+			}
+		}
+	})
+}
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -36,6 +36,9 @@
 	mu             sync.Mutex // guards all below, and serialises the calls of OnChange
 	records        map[string]versionedRecord
 	lastChange     Cursor
+	deleted        int          // number of records that delete their keys
+	forgotten      Cursor       // the latest change whose record was dropped, see forgetDeleted
+	forgottenEnd   crlid.Offset // offset after the last record that was dropped
 	end            crlid.Offset // offset after the last record that was read
 	completeFrom   crlid.Offset // offset from which each change of the topic is known, also the deletion of keys that were never held
 	confirmedAt    crlclock.Instant
@@ -61,7 +64,7 @@
 func (r *Replica) Apply(records []crlplatform.KeyedRecord, end crlid.Offset) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.apply(records, end)
+	r.apply(records, end, r.forgottenEnd)
 }
 
 // Replace merges the newest records of all keys and marks the replica as loaded. A key that is held but not among them was
@@ -83,16 +86,21 @@
 	if end >= r.end {
 		r.completeFrom = end
 	}
-	r.apply(all, end)
+	from := r.forgottenEnd
+	if end >= r.forgottenEnd {
+		from = 0 // What is present then has not been deleted before.
+	}
+	r.apply(all, end, from)
 	r.loaded = true
 }
 
-// apply merges records as Apply does, passes those that changed something to OnChange, and releases waiting followers.
-func (r *Replica) apply(records []crlplatform.KeyedRecord, end crlid.Offset) {
+// apply merges records as Apply does, passes those that changed something to OnChange, and releases waiting followers. It ignores records of keys
+// that aren't held from before the offset from: they may have been deleted since.
+func (r *Replica) apply(records []crlplatform.KeyedRecord, end, from crlid.Offset) {
 	var changed []crlplatform.KeyedRecord
 	for _, record := range records {
 		before, ok := r.records[record.Key]
-		if ok && record.Offset <= before.record.Offset {
+		if ok && record.Offset <= before.record.Offset || !ok && record.Offset < from {
 			continue
 		}
 		same := ok && r.config.Same != nil && !record.Deleted && !before.record.Deleted && r.config.Same(before.record, record)
@@ -101,6 +109,12 @@
 			continue
 		}
 		r.lastChange++
+		if record.Deleted {
+			r.deleted++
+		}
+		if ok && before.record.Deleted {
+			r.deleted--
+		}
 		r.records[record.Key] = versionedRecord{record: record, change: r.lastChange, compressed: new(compressedValue)}
 		changed = append(changed, record)
 	}
@@ -108,12 +122,36 @@
 	if len(changed) == 0 {
 		return
 	}
+	if r.deleted > maxDeleted {
+		r.forgetDeleted()
+	}
 	r.noteOutage(r.config.Now())
 	r.config.OnChange(changed, r.uncertainUntil)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+// maxDeleted is the number of deleted keys that a replica keeps, so that followers learn of the deletions.
+const maxDeleted = 1024
+
+// forgetDeleted drops the older half of the records that delete their keys. A follower that may not have them gets all records, and thereby which
+// keys there are.
+func (r *Replica) forgetDeleted() {
+	var deleted []versionedRecord
+	for _, held := range r.records {
+		if held.record.Deleted {
+			deleted = append(deleted, held)
+		}
+	}
+	slices.SortFunc(deleted, func(a, b versionedRecord) int { return cmp.Compare(a.record.Offset, b.record.Offset) })
+	for _, held := range deleted[:len(deleted)/2] {
+		delete(r.records, held.record.Key)
+		r.forgotten, r.forgottenEnd = max(r.forgotten, held.change), held.record.Offset+1
+		r.deleted--
+	}
+	r.completeFrom = max(r.completeFrom, r.forgottenEnd)
+}
+
 // Confirm records that the replica held all records that the topic had at the given moment.
 func (r *Replica) Confirm(at crlclock.Instant) {
 	r.mu.Lock()
@@ -186,14 +224,15 @@
 }
 
 // since returns the records that changed after a follower's cursor, in the order of the topic. For a follower without a cursor, these are the
-// records from the offset end on, up to which its replica is complete, or all records if it has none or deletions since may be unknown.
+// records from the offset end on, up to which its replica is complete. A follower gets all records if it has neither, or if deletions
+// since may be unknown or forgotten.
 func (r *Replica) since(after Cursor, end crlid.Offset) delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := delta{cursor: r.lastChange, end: r.end, confirmedAt: r.confirmedAt, loaded: r.loaded}
-	d.full = after == 0 && (end == crlid.NoOffset || end < r.completeFrom)
+	d.full = after == 0 && (end == crlid.NoOffset || end < r.completeFrom) || after > 0 && after < r.forgotten
 	for _, held := range r.records {
-		if held.change > after && (d.full || after > 0 || held.record.Offset >= end) {
+		if d.full || held.change > after && (after > 0 || held.record.Offset >= end) {
 			d.records = append(d.records, held)
 		}
 	}
