Let routers do without the topic of suspected parts

Found by reading the change: a source without that topic, of an earlier version or one to which the store doesn't serve it, would have been taken for unfit, its followers would have called it without a pause, and a failing read of it counted as an outage of the store. It is optional now: all else goes on without it.

Evidence: TestOptionalTopicHoldsUpNoOther covers a source without the topic, with it not loaded, and with it never confirmed again.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -50,7 +50,6 @@
 	StoreFailing func() bool             // whether this daemon's own reads of the store fail
 	MaxAge       map[Topic]time.Duration // greatest age of each topic's confirmation; if it is older, the follower tries another source
 	Exchange     Exchange                // nil for none
-	Optional     map[Topic]bool          // topics that daemons of earlier versions don't have
 }
 
 // Follower keeps this daemon's replicas up to date from those of another daemon, the source.
@@ -206,7 +205,9 @@
 func (f *Follower) ownFreshUntil() crlclock.Instant {
 	until := crlclock.Instant(math.MaxInt64)
 	for topic, replica := range f.config.Replicas {
-		until = min(until, replica.ConfirmedAt().Add(f.config.MaxAge[topic]))
+		if !replica.config.Optional {
+			until = min(until, replica.ConfirmedAt().Add(f.config.MaxAge[topic]))
+		}
 	}
 	return until
 }
@@ -293,8 +294,8 @@
 // The source replied no earlier than the sending of the call plus the time that it held the call. A confirmation dates from
 // that moment, less its age at the source, so it never looks newer than it is.
 func (f *Follower) apply(response FollowResponse, sentAt crlclock.Instant) bool {
-	for topic := range f.config.Replicas {
-		if delta, ok := response.Topics[topic]; !ok && !f.config.Optional[topic] || ok && delta.ConfirmationAge < 0 {
+	for topic, replica := range f.config.Replicas {
+		if delta, ok := response.Topics[topic]; !replica.config.Optional && (!ok || delta.ConfirmationAge < 0) {
 			f.cause = string(topic) + " has no confirmation at the source"
 			return false
 		}
@@ -304,8 +305,8 @@
 	for _, topic := range f.config.ApplyOrder {
 		replica := f.config.Replicas[topic]
 		delta, ok := response.Topics[topic]
-		if !ok {
-			continue // The source is of an earlier version.
+		if !ok || delta.ConfirmationAge < 0 {
+			continue
 		}
 		records, err := decodeRecords(delta.Records)
 		if err != nil {
@@ -320,6 +321,9 @@
 		f.cursors[topic] = delta.Cursor
 		confirmedAt := sentAt.Add(time.Duration(response.HeldFor-delta.ConfirmationAge) * time.Millisecond)
 		replica.Confirm(confirmedAt)
+		if replica.config.Optional {
+			continue
+		}
 		maxAge := f.config.MaxAge[topic] + detour
 		if age := f.config.Now().Sub(confirmedAt); age > maxAge {
 			f.cause = fmt.Sprintf("%s was last confirmed %s ago", topic, age.Round(time.Millisecond))
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -453,3 +454,56 @@
 		}
 	})
 }
+
+// TestOptionalTopicHoldsUpNoOther guards against routers that no longer get orders, or call their source without a pause, because it doesn't have
+// a topic that they can do without: it is of an earlier version, or the store doesn't serve that topic.
+func TestOptionalTopicHoldsUpNoOther(t *testing.T) {
+	const optionalTopic Topic = "optional"
+	for _, name := range []string{"absent", "not loaded", "loaded, never confirmed again"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now := crlclock.NewMonotonic()
+				reader, other := newDaemon("a", now), newDaemon("b", now)
+				newOptional := func() *Replica {
+					return NewReplica(ReplicaConfig{OnChange: func([]crlplatform.KeyedRecord, crlclock.Instant) {}, Now: now, Optional: true})
+				}
+				replicas := map[Topic]*Replica{testTopic: reader.replica}
+				if name != "absent" {
+					replicas[optionalTopic] = newOptional()
+				}
+				if name == "loaded, never confirmed again" {
+					replicas[optionalTopic].Replace(nil, 0)
+					replicas[optionalTopic].Confirm(now())
+				}
+				reader.server = NewServer(ServerConfig{Self: "a", Replicas: replicas, Roster: func() Roster { return Roster{} }, Now: now})
+				reader.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
+				n := newNetwork(map[string]*testDaemon{"a": reader, "b": other})
+				f := newFollower(other, n, "b", "a", "x", "b")
+				f.config.Replicas[optionalTopic] = newOptional()
+				f.config.ApplyOrder = []Topic{testTopic, optionalTopic}
+				calls := 0
+				f.config.Exchange = countingExchange{&calls}
+				ctx, cancel := context.WithCancel(t.Context())
+				go confirmPeriodically(ctx, reader)
+				go func() { _ = f.Run(ctx) }()
+				time.Sleep(20 * time.Second)
+				if other.contents() != "map[s1:in]" || f.ShouldReadStore() {
+					t.Errorf("the follower holds %s and reads the store: %v, want the entry and a source", other.contents(), f.ShouldReadStore())
+				}
+				if calls > 50 {
+					t.Errorf("%d calls in 20 s, want about one for each %s", calls, FollowWait)
+				}
+				cancel()
+				time.Sleep(time.Second) // Let calls in flight return.
+			})
+		})
+	}
+}
+
+// countingExchange counts the calls of a follower.
+type countingExchange struct{ calls *int }
+
+func (c countingExchange) Request(bool) json.RawMessage        { *c.calls++; return nil }
+func (countingExchange) Reply(json.RawMessage) json.RawMessage { return nil }
+func (countingExchange) Pending() bool                         { return false }
+func (countingExchange) Learn(json.RawMessage)                 {}
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -25,6 +25,8 @@
 	Now         crlclock.Clock
 	OutageAfter time.Duration // time without confirmation after which records may have expired, 0 if the topic's records never do
 	Settle      time.Duration // how long after an outage expired records may reappear
+	// Optional reports whether the topic is followed only as far as a source has it: neither its absence nor its age makes a source unfit.
+	Optional bool
 	// Same reports whether a record changes nothing for followers compared with the one before it; if nil, every record is
 	// a change.
 	Same func(before, after crlplatform.KeyedRecord) bool
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -98,10 +98,10 @@
 	return sources
 }
 
-// loaded reports whether all replicas are loaded.
+// loaded reports whether all replicas but the optional ones are loaded.
 func (s *Server) loaded() bool {
 	for _, replica := range s.config.Replicas {
-		if !replica.Loaded() {
+		if !replica.config.Optional && !replica.Loaded() {
 			return false
 		}
 	}
--- a/crlrouter/quarantine.go
+++ b/crlrouter/quarantine.go
@@ -22,6 +22,8 @@
 const EventQuarantine crllog.Event = "quarantine"
 
 const (
+	// quarantineLongPoll is short enough for a read on a connection that has gone silent to end, and the next one to be answered, within 3 s.
+	quarantineLongPoll      = 1500 * time.Millisecond
 	quarantineCheckInterval = 10 * time.Second       // time between checks for records that are old
 	quarantineRetryPause    = 100 * time.Millisecond // mean pause after a conflict or a failed write
 )
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -105,9 +105,8 @@
 		StoreFailing: func() bool { return r.failingTopics.Load() > 0 },
 		MaxAge: map[crlrelay.Topic]time.Duration{
 			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
-			topicQuarantine: 2*statusLongPoll + maxRelayDelay,
 		},
-		Exchange: r.evidence, Optional: map[crlrelay.Topic]bool{topicQuarantine: true},
+		Exchange: r.evidence,
 	})
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
@@ -161,7 +160,7 @@
 		}),
 		store: r.config.Store, topic: r.config.Topics.Quarantine, logger: r.config.Logger,
 	}
-	l.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: l.apply, Now: r.config.Clock})
+	l.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: l.apply, Now: r.config.Clock, Optional: true})
 	r.replicas[topicQuarantine] = l.replica
 	return l
 }
@@ -281,7 +280,7 @@
 	status := r.newWatcher(watcherConfig{topic: r.config.Topics.Status, replica: r.replicas[topicStatus], longPoll: statusLongPoll})
 	orders := r.newWatcher(watcherConfig{topic: r.config.Topics.Orders, replica: r.replicas[topicOrders], longPoll: r.config.Settings.Bounds.ordersLongPoll()})
 	quarantine := r.newWatcher(watcherConfig{
-		topic: r.config.Topics.Quarantine, replica: r.replicas[topicQuarantine], longPoll: statusLongPoll,
+		topic: r.config.Topics.Quarantine, replica: r.replicas[topicQuarantine], longPoll: quarantineLongPoll, optional: true,
 	})
 	servers := r.newWatcher(watcherConfig{
 		topic: r.config.Topics.Servers, replica: r.replicas[topicServers], pause: r.config.Settings.Bounds.serversPause(),
@@ -313,6 +312,9 @@
 func (r *Router) newWatcher(config watcherConfig) *watcher {
 	config.store, config.now, config.logger, config.shouldRead = r.config.Store, r.config.Clock, r.config.Logger, r.follower.ShouldReadStore
 	config.failingTopics, config.outageBackoff = &r.failingTopics, r.outageBackoff
+	if config.optional {
+		config.failingTopics = new(atomic.Int32)
+	}
 	return newWatcher(config)
 }
 
--- a/crlrouter/watcher.go
+++ b/crlrouter/watcher.go
@@ -66,6 +66,7 @@
 	outageBackoff func() time.Duration
 	// failingTopics counts the topics whose last read from the store failed.
 	failingTopics *atomic.Int32
+	optional      bool // whether failed reads of the topic say nothing about the store
 }
 
 // watcher reads one topic of the store into a replica.
