--- a/crlrelay/record_test.go
+++ b/crlrelay/record_test.go
@@ -21,6 +21,18 @@
 	return b
 }
 
+// transfer returns the message that arrives when one is sent.
+func transfer(t interface{ Fatal(...any) }, sent any) (message Record) {
+	encoded, err := json.Marshal(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(encoded, &message); err != nil {
+		t.Fatal(err)
+	}
+	return message
+}
+
 // TestRecordsArriveUnchanged checks that records are the same after their way in a message, whatever their size.
 func TestRecordsArriveUnchanged(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -28,14 +40,7 @@
 		sent := crlplatform.KeyedRecord{
 			Key: rapid.String().Draw(t, "key"), Offset: 7, Value: bytes.Repeat(unit, rapid.IntRange(1, 2000).Draw(t, "times")),
 		}
-		encoded, err := json.Marshal(encodeRecord(sent, new(compressedValue)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		var message Record
-		if err := json.Unmarshal(encoded, &message); err != nil {
-			t.Fatal(err)
-		}
+		message := transfer(t, encodeRecord(sent, new(compressedValue)))
 		got, err := decodeRecord(message)
 		if err != nil {
 			t.Fatal(err)
@@ -73,16 +78,9 @@
 // TestRecordsOfEarlierVersionsAreUnderstood guards against a daemon that can't follow one of an earlier version, whose records have other
 // names of fields, while VMs are updated one by one.
 func TestRecordsOfEarlierVersionsAreUnderstood(t *testing.T) {
-	encoded, err := json.Marshal(crlplatform.KeyedRecord{Key: "config", Value: []byte("{}"), Offset: 3})
-	if err != nil {
-		t.Fatal(err)
-	}
-	var message Record
-	if err := json.Unmarshal(encoded, &message); err != nil {
-		t.Fatal(err)
-	}
-	got, err := decodeRecord(message)
-	if want := (crlplatform.KeyedRecord{Key: "config", Value: []byte("{}"), Offset: 3}); err != nil || !cmp.Equal(got, want) {
+	want := crlplatform.KeyedRecord{Key: "config", Value: []byte("{}"), Offset: 3}
+	got, err := decodeRecord(transfer(t, want))
+	if err != nil || !cmp.Equal(got, want) {
 		t.Errorf("got %+v and error %v, want %+v", got, err, want)
 	}
 }
--- a/crlrouter/large_configuration_test.go
+++ b/crlrouter/large_configuration_test.go
@@ -48,6 +48,16 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[%s]}`, version, strings.Join(list, ","))
 }
 
+// newLinkedCluster returns a cluster with configuration 1 whose links have the given rates, in bytes per second.
+func newLinkedCluster(latency time.Duration, rate func(crlfake.Node) float64) *cluster {
+	store := newMemoryStore()
+	store.put("orders", "config", `{"version":1}`)
+	c := newCluster(store)
+	c.codec = versionCodec{}
+	c.wire = crlfake.NewNetwork(crlfake.NetworkConfig{Latency: latency, BytesPerSecond: rate})
+	return c
+}
+
 // TestLargeConfigurationReachesRoutersOnThinLinks guards against a configuration that most routers get too late, because it doesn't fit
 // through their links before a call to another router ends, so that they start over again and again. Record inc1 broke CONFIG in this way.
 func TestLargeConfigurationReachesRoutersOnThinLinks(t *testing.T) {
@@ -61,15 +71,9 @@
 	for _, routes := range []int{1400, 4200, 15000} {
 		t.Run(fmt.Sprint(routes), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newMemoryStore()
-				store.put("orders", "config", `{"version":1}`)
 				ctx, cancel := context.WithCancel(t.Context())
-				c := newCluster(store)
-				c.codec = versionCodec{}
 				rates := make(map[crlfake.Node]float64)
-				c.wire = crlfake.NewNetwork(crlfake.NetworkConfig{
-					Latency: time.Millisecond, BytesPerSecond: func(node crlfake.Node) float64 { return rates[node] },
-				})
+				c := newLinkedCluster(time.Millisecond, func(node crlfake.Node) float64 { return rates[node] })
 				for n := range weak + strong {
 					rates[crlfake.Node(address(n))] = weakLink
 					if n >= weak { // A router's number is its strength.
@@ -82,7 +86,7 @@
 				}
 				time.Sleep(15 * time.Second)
 				for _, version := range []int64{2, 3} {
-					store.put("orders", "config", largeConfiguration(int(version), routes))
+					c.store.put("orders", "config", largeConfiguration(int(version), routes))
 					time.Sleep(allowed)
 					late := 0
 					for _, r := range routers {
@@ -110,20 +114,16 @@
 		allowed  = 4 * time.Second // the configuration takes 2.6 s over the link
 	)
 	synctest.Test(t, func(t *testing.T) {
-		store := newMemoryStore()
-		store.put("orders", "config", `{"version":1}`)
 		ctx, cancel := context.WithCancel(t.Context())
-		c := newCluster(store)
-		c.codec = versionCodec{}
-		c.wire = crlfake.NewNetwork(crlfake.NetworkConfig{BytesPerSecond: func(node crlfake.Node) float64 {
+		c := newLinkedCluster(0, func(node crlfake.Node) float64 {
 			if node == "store" {
 				return 0
 			}
 			return thinLink
-		}})
+		})
 		router := c.start(ctx, 0)
 		time.Sleep(5 * time.Second)
-		store.put("orders", "config", largeConfiguration(2, 15000))
+		c.store.put("orders", "config", largeConfiguration(2, 15000))
 		time.Sleep(allowed)
 		if got := tableVersion(router); got != 2 {
 			t.Errorf("the router has configuration %d, want 2, %s after it was written", got, allowed)
