Test the ends of unframed answers over TCP

The tests of streams that end with their connection use scripted bodies. This one has sockets: a close ends the answer without an error, a reset with one, and such an answer has neither a length nor chunks for the router's transport.

--- a/crlforward/unframed_test.go
+++ b/crlforward/unframed_test.go
@@ -1,8 +1,12 @@
 package crlforward
 
 import (
+	"errors"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -76,3 +80,61 @@
 		})
 	}
 }
+
+// TestEndsOfUnframedAnswersOverTCP checks that the router's transport tells the ends of answers without length or chunks apart as the other
+// tests assume: a closed connection ends the answer without an error, and a reset with one.
+func TestEndsOfUnframedAnswersOverTCP(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	for _, tc := range []struct {
+		name, text string
+		reset      bool
+		body       string
+		wantErr    error
+	}{
+		{name: "complete", text: events(1, 2), body: events(1, 2), wantErr: io.EOF},
+		{name: "inside an event", text: events(1, 1) + "id: 2", body: events(1, 1), wantErr: errInsideEvent},
+		{name: "without an event", wantErr: errInsideEvent},
+		{name: "reset after an event", text: events(1, 1), reset: true, body: events(1, 1), wantErr: syscall.ECONNRESET},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			relayed := make(chan struct{})
+			address := serveOnce(t, func(connection *net.TCPConn) {
+				if err := readRequest(connection); err != nil {
+					t.Error(err)
+				}
+				_, _ = io.WriteString(connection, head+tc.text)
+				if tc.reset {
+					<-relayed // The kernel drops what has not been read when a reset arrives.
+					_ = connection.SetLinger(0)
+				}
+			})
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := NewTransport().RoundTrip(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			if isFramed(response) {
+				t.Error("the answer counts as one with a length or chunks")
+			}
+			reader, stop := newEventReader(response)
+			defer stop()
+			var body strings.Builder
+			for err == nil {
+				var event []byte
+				event, err = reader.next()
+				body.Write(event)
+				if reader.count == 1 && tc.reset && err == nil {
+					close(relayed)
+				}
+			}
+			if body.String() != tc.body || !errors.Is(err, tc.wantErr) {
+				t.Errorf("got %q and error %v, want %q and %v", body.String(), err, tc.body, tc.wantErr)
+			}
+		})
+	}
+}
