Keep the records that the store has when suspects are many

Found by reading the change: with more than 256 suspected parts the oldest was evicted, also one whose record lies in the store. Its owner would then never delete that record, and the store keeps the newest record of each key for good. Only records that the store doesn't have yet are evicted now. Up to 64 instead of 16 parts of a request are suspected, as one behind those would go on crashing servers.

Evidence: TestMemoryForSuspectsIsBounded found the stored record evicted before and passes.

--- a/crlquarantine/registry.go
+++ b/crlquarantine/registry.go
@@ -58,7 +58,7 @@
 	firstProbe     = 2 * time.Second // time from the latest crash to the first probe
 	probeFactor    = 4               // by which the time to the next probe grows with each
 	maxProbeTime   = 10 * time.Minute
-	maxParts       = 16 // parts of one request that are suspected
+	maxParts       = 64 // parts of one request that are suspected
 	minRetryAfter  = time.Second
 	maxRetryAfter  = 30 * time.Second
 	retrySpread    = 300 * time.Millisecond // over which callers are told to return
@@ -174,8 +174,8 @@
 	}
 }
 
-// entry returns the entry of a part, and adds one if there is none. If there are maxEntries, the one that changed first and isn't
-// quarantined is evicted; nil if there is none. The caller holds the lock.
+// entry returns the entry of a part, and adds one if there is none. If there are maxEntries, the one that changed first is evicted of those that
+// are neither quarantined nor in the store, where nobody would delete it; nil if there is none. The caller holds the lock.
 func (r *Registry) entry(part Part, now crlclock.Instant) *entry {
 	if e, ok := r.entries[part]; ok {
 		return e
@@ -183,7 +183,7 @@
 	if len(r.entries) >= maxEntries {
 		var oldest *entry
 		for _, e := range r.entries {
-			if !e.quarantined && (oldest == nil || e.changedAt < oldest.changedAt) {
+			if !e.quarantined && !e.stored && (oldest == nil || e.changedAt < oldest.changedAt) {
 				oldest = e
 			}
 		}
--- a/crlquarantine/registry_test.go
+++ b/crlquarantine/registry_test.go
@@ -141,6 +141,7 @@
 		r := newRegistry(false)
 		crash(r, 1, 1, "a")
 		crash(r, 2, 2, "a")
+		r.Apply(Record{Part: "s0", Crashes: []Crash{{"r", "i"}}})
 		for n := range 20000 {
 			time.Sleep(time.Millisecond)
 			part := Part(fmt.Sprint("p", n))
@@ -154,6 +155,9 @@
 		if !r.Check([]Part{"a"}).Quarantined {
 			t.Error("a quarantined part was evicted for parts that are only suspected")
 		}
+		if e := r.entries["s0"]; e == nil || !e.stored {
+			t.Error("a record in the store was evicted, so that nobody will delete it there")
+		}
 	})
 }
 
