Keep the limit of the test of ages for long bounds

A 64th of the bound is left for a read again, and 32 ms at least.

Evidence: TestAgesLeaveTimeWithinTheBound passes.

--- a/crlrouter/settings_test.go
+++ b/crlrouter/settings_test.go
@@ -33,7 +33,8 @@
 	const (
 		slowReply = 320 * time.Millisecond // of a store that answers 80 times as late as usual
 		feeders   = 1                      // routers between a reader and another one in a large fleet
-		readTime  = 30 * time.Millisecond  // of a read of the store in calm times
+		readTime  = 32 * time.Millisecond  // of a read of the store in calm times
+		readPart  = 64                     // part of a longer bound that is left for it
 	)
 	for _, bound := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
 		b := Bounds{Configuration: bound, ServerDrain: bound}
@@ -52,7 +53,7 @@
 			if want > defaultConfiguration {
 				hops += feeders
 			}
-			if noticed := topic.longest + hops*crlrelay.FollowWait; noticed > want-readTime {
+			if noticed := topic.longest + hops*crlrelay.FollowWait; noticed > want-max(readTime, want/readPart) {
 				t.Errorf("bound %s: old confirmations of %s are noticed after %s", bound, topic.name, noticed)
 			}
 		}
