Write suspected parts rarely while the store is away

Found by reading the change: a router with a suspected part that the store didn't take tried again after 0.1 s, for as long as the outage lasted, which is 3,000 calls a second of 295 routers. It pauses for 1 to 3 s now; only after a conflict with another router's write it tries again at once, as before.

--- a/crlrouter/crashing_part_test.go
+++ b/crlrouter/crashing_part_test.go
@@ -364,3 +364,33 @@
 		}
 	})
 }
+
+// TestOutageSparesTheStoreOfSuspects guards against routers that write what they know of suspected parts again and again while the store is away, and
+// against a quarantine that doesn't outlast the outage.
+func TestOutageSparesTheStoreOfSuspects(t *testing.T) {
+	const outage = 20 * time.Second
+	runOnCrashingServers(t, 6, 9, []string{"deadly"}, func(_ *crashingServers, clients *callers, store *memoryStore) {
+		store.setDown(true)
+		for range 12 { // Each router sees two crashes or more of its own.
+			clients.call(clients.shared(), "deadly")
+			time.Sleep(500 * time.Millisecond)
+		}
+		store.mu.Lock()
+		before := store.appends
+		store.mu.Unlock()
+		time.Sleep(outage)
+		store.mu.Lock()
+		appends := store.appends - before
+		store.mu.Unlock()
+		if most := len(clients.routers) * int(outage/time.Second); appends > most {
+			t.Errorf("%d writes in an outage of %s by %d routers, want at most one a second each", appends, outage, len(clients.routers))
+		}
+		store.setDown(false)
+		time.Sleep(contact)
+		for n, r := range clients.routers {
+			if r.quarantine.registry.Quarantined() == 0 {
+				t.Errorf("router %d keeps no part from servers %s after the outage", n, contact)
+			}
+		}
+	})
+}
--- a/crlrouter/quarantine.go
+++ b/crlrouter/quarantine.go
@@ -25,7 +25,8 @@
 	// quarantineLongPoll is short enough for a read on a connection that has gone silent to end, and the next one to be answered, within 3 s.
 	quarantineLongPoll      = 1500 * time.Millisecond
 	quarantineCheckInterval = 10 * time.Second       // time between checks for records that are old
-	quarantineRetryPause    = 100 * time.Millisecond // mean pause after a conflict or a failed write
+	conflictPause           = 100 * time.Millisecond // mean pause after a conflict with the write of another router
+	failedWritePause        = 2 * time.Second        // mean pause after a write that the store did not take
 )
 
 // quarantineLedger keeps a Registry and its topic in the store in step.
@@ -71,49 +72,46 @@
 
 // run writes the changes that are due until ctx ends.
 func (l *quarantineLedger) run(ctx context.Context) error {
-	timer := crlclock.NewTicker(quarantineCheckInterval)
-	defer timer.Stop()
+	ticker := crlclock.NewTicker(quarantineCheckInterval)
+	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-l.registry.Changed():
-		case <-timer.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		for ctx.Err() == nil && !l.writeDue(ctx) {
-			// Daemons that see the same crash write at the same time; a random pause separates them.
-			crlclock.Sleep(ctx, quarantineRetryPause/2+rand.N(quarantineRetryPause))
+		for pause := l.writeDue(ctx); pause > 0 && ctx.Err() == nil; pause = l.writeDue(ctx) {
+			// Routers that see the same crash write at the same time; a random pause separates them.
+			crlclock.Sleep(ctx, pause/2+rand.N(pause))
 		}
 	}
 	return ctx.Err()
 }
 
-// writeDue writes the changes that are due, and reports whether none is left.
-func (l *quarantineLedger) writeDue(ctx context.Context) bool {
+// writeDue writes the changes that are due. It returns the mean pause until the next try, 0 if none is left.
+func (l *quarantineLedger) writeDue(ctx context.Context) time.Duration {
 	changes := l.registry.Due()
-	if len(changes) == 0 {
-		return true
-	}
-	if !l.replica.Loaded() {
-		return false
+	if len(changes) > 0 && !l.replica.Loaded() {
+		return failedWritePause
 	}
 	for _, change := range changes {
-		if !l.write(ctx, change) {
-			return false
+		if pause := l.write(ctx, change); pause > 0 {
+			return pause
 		}
 	}
-	return len(l.registry.Due()) == 0
+	return 0
 }
 
 // write appends a change on the condition that the topic still ends where the replica does, so that what another daemon has written meanwhile
-// is merged first. It reports whether that succeeded.
-func (l *quarantineLedger) write(ctx context.Context, change crlquarantine.Change) bool {
+// is merged first. It returns the mean pause until the next try, 0 if it succeeded.
+func (l *quarantineLedger) write(ctx context.Context, change crlquarantine.Change) time.Duration {
 	record := crlplatform.KeyedRecord{Key: string(change.Record.Part), Deleted: change.Delete}
 	if !change.Delete {
 		value, err := change.Record.Encode()
 		if err != nil {
 			l.logger.Event(EventBadRecord, slog.String("key", record.Key), slog.String("cause", err.Error()))
-			return true
+			return 0
 		}
 		record.Value = value
 	}
@@ -124,11 +122,12 @@
 	if err == nil {
 		record.Offset = at
 		l.replica.Apply([]crlplatform.KeyedRecord{record}, end)
-		return true
+		return 0
 	}
 	var conflict *crlplatform.Conflict
-	if !errors.As(err, &conflict) {
-		l.logger.Event(EventQuarantine, slog.String("part", record.Key), slog.String("cause", "not written: "+err.Error()))
+	if errors.As(err, &conflict) {
+		return conflictPause
 	}
-	return false
+	l.logger.Event(EventQuarantine, slog.String("part", record.Key), slog.String("cause", "not written: "+err.Error()))
+	return failedWritePause
 }
--- a/crlrouter/store_test.go
+++ b/crlrouter/store_test.go
@@ -20,6 +20,7 @@
 	members     []string
 	generation  int64
 	reads       int
+	appends     int
 	down        bool
 	changed     chan struct{} // closed and replaced at each append, and when an outage begins or ends
 	views       []*storeView
@@ -180,6 +181,7 @@
 func (m *memoryStore) AppendAt(_ context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Offset) (crlid.Offset, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.appends++
 	if m.down {
 		return 0, errDown
 	}
