Suspect no part without an identifier

Found by reading the change: a prompt's part may have an empty identifier, if a caller's header is malformed. After a crash its record would have had an empty key, which the store may refuse each time it is written.

Evidence: the case 'empty identifier' of TestPartsAreQuarantined got a quarantine before and passes.

--- a/crlquarantine/record.go
+++ b/crlquarantine/record.go
@@ -26,7 +26,7 @@
 
 const (
 	maxCrashes    = 8   // crashes of a part that are kept
-	maxPartBytes  = 200 // longer identifiers are not suspected; a key in the store has at most 255 bytes
+	maxPartBytes  = 200 // longer identifiers, and empty ones, are not suspected; a key in the store has 1 to 255 bytes
 	minRequests   = 2   // requests with a part that must have crashed servers before it is quarantined
 	minServers    = 2   // servers that must have crashed with a part before it is quarantined
 	maxValueBytes = 16 << 10
--- a/crlquarantine/registry.go
+++ b/crlquarantine/registry.go
@@ -152,7 +152,7 @@
 	defer r.mu.Unlock()
 	for _, p := range parts[:min(len(parts), maxParts)] {
 		startedAt, ok := r.started[p]
-		if len(p) > maxPartBytes || ok && now.Sub(startedAt) < startedWithin {
+		if p == "" || len(p) > maxPartBytes || ok && now.Sub(startedAt) < startedWithin {
 			continue
 		}
 		e := r.entry(p, now)
--- a/crlquarantine/registry_test.go
+++ b/crlquarantine/registry_test.go
@@ -73,6 +73,7 @@
 			crash(r, 1, 1, "a")
 			crash(r, 2, 2, "a")
 		}, []Part{"a"}, true},
+		{"empty identifier", func(r *Registry) { crash(r, 1, 1, ""); crash(r, 2, 2, "") }, []Part{""}, false},
 		{"long identifier", func(r *Registry) {
 			crash(r, 1, 1, Part(fmt.Sprintf("%300d", 1)))
 			crash(r, 2, 2, Part(fmt.Sprintf("%300d", 1)))
