--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -49,7 +49,8 @@
 	Listen   Listen          // opens listeners; nil for TCP
 	// Transport carries sends to backend servers.
 	Transport http.RoundTripper
-	Clock     crlclock.Clock // for ages of confirmations; must advance while the VM is suspended
+	Probe     crlforward.Probe // checks whether backend servers accept connections; nil for TCP
+	Clock     crlclock.Clock   // for ages of confirmations; must advance while the VM is suspended
 	// Hangup receives SIGHUP when the settings have changed. The caller must register it when the process starts, as the signal
 	// ends a process that does not handle it.
 	Hangup <-chan os.Signal
@@ -143,7 +144,7 @@
 		Retries: crlbudget.NewRetryBudget(crlbudget.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Share: r.members.share,
 		}),
-		Transport: config.Transport, Log: config.Logger, Metrics: crlforward.NewMetrics(r.registry),
+		Transport: config.Transport, Probe: config.Probe, Log: config.Logger, Metrics: crlforward.NewMetrics(r.registry),
 		Now: config.Clock, MaxConfirmationAge: confirmationAge, MaxDenialAge: s.Bounds.configuration(), SessionTimeout: s.Bounds.SessionTimeout,
 		// Open requests may use half of the memory limit.
 		MaxOpenRequests: max(int(float64(s.MemoryBytes)*memoryLimitFraction/2/requestMemoryBytes), minOpenRequests),
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -52,7 +52,7 @@
 	if string(r.Value) == "undecodable" {
 		return crlfleet.Entry{}, errors.New("undecodable entry")
 	}
-	return crlfleet.Entry{Server: crlid.Server(r.Key), Service: "s", Version: crlid.Version(r.Value), Domain: "near"}, nil
+	return crlfleet.Entry{Server: crlid.Server(r.Key), Service: "s", Address: r.Key, Version: crlid.Version(r.Value), Domain: "near"}, nil
 }
 
 func (testCodec) DecodeStatus(r crlplatform.KeyedRecord) (crlrollout.Status, bool) {
@@ -106,6 +106,7 @@
 	codec     Codec
 	dialect   crlforward.Dialect
 	transport http.RoundTripper // carries sends to backend servers
+	probe     crlforward.Probe  // checks backend servers; nil for TCP
 	grace     time.Duration     // Bounds.Grace of the routers
 	wire      *crlfake.Network  // carries calls between routers, encoded, instead of network; nil for none
 }
@@ -158,7 +159,7 @@
 			Bounds: Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.9, RetrySlack: 50, Grace: c.grace},
 		},
 		Store: view, Topics: Topics{Orders: "orders", Servers: "servers", Status: "status", Quarantine: "quarantine"},
-		Codec: c.codec, Dialect: c.dialect, Peers: c.peers(n), Transport: c.transport,
+		Codec: c.codec, Dialect: c.dialect, Peers: c.peers(n), Transport: c.transport, Probe: c.probe,
 		Logger: crllog.New(crllog.Config{Output: io.Discard}), Clock: c.clock,
 		Reload: func() (*Settings, error) { return nil, errors.New("no file") },
 	})
