Name what may crash servers a suspect in crlquarantine

The registry is about to hold requests as well as parts of prompts. Renames only: the type Part, the fields and the words of comments. Records in the store and log lines are unchanged. Tests of crlquarantine and crlforward, and those of the quarantine in crlrouter, pass.

--- a/crlforward/quarantine.go
+++ b/crlforward/quarantine.go
@@ -12,10 +12,10 @@
 const maxCrashes = 2
 
 // sharedParts returns the parts of the request's prompt that other requests may have too: all but the last.
-func (x *exchange) sharedParts() []crlquarantine.Part {
+func (x *exchange) sharedParts() []crlquarantine.Suspect {
 	if x.parts == nil && len(x.head.Parts) > 1 {
 		for _, p := range x.head.Parts[:len(x.head.Parts)-1] {
-			x.parts = append(x.parts, crlquarantine.Part(p.ID))
+			x.parts = append(x.parts, crlquarantine.Suspect(p.ID))
 		}
 	}
 	return x.parts
@@ -34,7 +34,7 @@
 	if !verdict.Quarantined {
 		return nil
 	}
-	x.trace.part = string(verdict.Part)
+	x.trace.part = string(verdict.Suspect)
 	refusal := x.finalRefusal(ReasonCrashes)
 	if refusal.Status == http.StatusServiceUnavailable {
 		refusal.RetryAfter = verdict.RetryAfter
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -120,22 +120,22 @@
 	tableAge      time.Duration // time from the application of table to the request's arrival
 	route         *crlroute.Route
 	service       *crlroute.Service
-	caller        crlroute.Organisation // the zero value if the request needs no API key
-	deadline      time.Time             // the caller's deadline or the end of the route's timeout, whichever is first
-	rolloutPlan   crlrollout.Plan       // roll-out plan of the newest send
-	lastVersion   crlid.Version         // version that the session's previous request ran on
-	sends         int                   // sends so far
-	waits         int                   // times that it waited for a server or the retry budget
-	failedDials   int                   // sends of the started stream that opened no connection; not counted in sends
-	reached       bool                  // whether a server may have received the request
-	retryPaid     bool                  // whether the retry budget was charged for the next send
-	crashes       int                   // sends whose answer broke off before it had an event
-	parts         []crlquarantine.Part  // see sharedParts
-	runs          int                   // sends after which a server may have started to execute the request
-	tried         map[crlid.Server]bool // servers that the request was sent to
-	lastFailure   *reply                // last answer with a 5xx status
-	fallback      *reply                // complete answer of a smaller model, sent if the larger model does not answer
-	fallbackTimer *time.Timer           // ends a send in time for the fallback; nil without one
+	caller        crlroute.Organisation   // the zero value if the request needs no API key
+	deadline      time.Time               // the caller's deadline or the end of the route's timeout, whichever is first
+	rolloutPlan   crlrollout.Plan         // roll-out plan of the newest send
+	lastVersion   crlid.Version           // version that the session's previous request ran on
+	sends         int                     // sends so far
+	waits         int                     // times that it waited for a server or the retry budget
+	failedDials   int                     // sends of the started stream that opened no connection; not counted in sends
+	reached       bool                    // whether a server may have received the request
+	retryPaid     bool                    // whether the retry budget was charged for the next send
+	crashes       int                     // sends whose answer broke off before it had an event
+	parts         []crlquarantine.Suspect // see sharedParts
+	runs          int                     // sends after which a server may have started to execute the request
+	tried         map[crlid.Server]bool   // servers that the request was sent to
+	lastFailure   *reply                  // last answer with a 5xx status
+	fallback      *reply                  // complete answer of a smaller model, sent if the larger model does not answer
+	fallbackTimer *time.Timer             // ends a send in time for the fallback; nil without one
 	stream        stream
 	trace         trace
 }
--- a/crlquarantine/record.go
+++ b/crlquarantine/record.go
@@ -8,8 +8,8 @@
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
 
-// Part is the identifier of a part of a prompt; parts with equal content have the same.
-type Part string
+// Suspect identifies what may crash servers: a part of prompts, or a request that comes again.
+type Suspect string
 
 // Crash is the crash of a server as it began the answer to a request.
 type Crash struct {
@@ -17,38 +17,38 @@
 	Server  crlid.Server  `json:"server"`
 }
 
-// Record is what is known of a suspected part.
+// Record is what is known of a suspect.
 type Record struct {
-	Part    Part    `json:"-"`       // the key of the record in the store
+	Suspect Suspect `json:"-"`       // the key of the record in the store
 	Crashes []Crash `json:"crashes"` // the newest maxCrashes, without repeats
-	Probes  int     `json:"probes"`  // requests that were sent although the part was quarantined, to see whether servers still crash
+	Probes  int     `json:"probes"`  // requests that were sent although the suspect was quarantined, to see whether servers still crash
 }
 
 const (
-	maxCrashes    = 8   // crashes of a part that are kept
+	maxCrashes    = 8   // crashes of a suspect that are kept
 	maxPartBytes  = 200 // longer identifiers, and empty ones, are not suspected; a key in the store has 1 to 255 bytes
-	minRequests   = 2   // requests with a part that must have crashed servers before it is quarantined
-	minServers    = 2   // servers that must have crashed with a part before it is quarantined
+	minRequests   = 2   // requests with a suspect that must have crashed servers before it is quarantined
+	minServers    = 2   // servers that must have crashed with a suspect before it is quarantined
 	maxValueBytes = 16 << 10
 )
 
 // Encode returns the value of the record in the store.
 func (r Record) Encode() ([]byte, error) { return json.Marshal(r) }
 
-// Decode returns the record of a part from its value in the store. It fails for a value that isn't that of a record.
-func Decode(part Part, value []byte) (Record, error) {
-	r := Record{Part: part}
+// Decode returns the record of a suspect from its value in the store. It fails for a value that isn't that of a record.
+func Decode(suspect Suspect, value []byte) (Record, error) {
+	r := Record{Suspect: suspect}
 	if len(value) > maxValueBytes {
-		return r, fmt.Errorf("record of part %s has %d bytes, allowed are %d", part, len(value), maxValueBytes)
+		return r, fmt.Errorf("record of %s has %d bytes, allowed are %d", suspect, len(value), maxValueBytes)
 	}
 	if err := json.Unmarshal(value, &r); err != nil {
-		return r, fmt.Errorf("decode record of part %s: %w", part, err)
+		return r, fmt.Errorf("decode record of %s: %w", suspect, err)
 	}
 	r.Crashes = r.Crashes[max(0, len(r.Crashes)-maxCrashes):]
 	return r, nil
 }
 
-// quarantined reports whether requests with the part are kept from servers.
+// quarantined reports whether requests with the suspect are kept from servers.
 func (r Record) quarantined() bool {
 	requests, servers := make(map[crlid.Request]bool), make(map[crlid.Server]bool)
 	for _, c := range r.Crashes {
@@ -57,7 +57,7 @@
 	return len(requests) >= minRequests && len(servers) >= minServers
 }
 
-// explains reports whether every crash of another part is one of this part too.
+// explains reports whether every crash of another suspect is one of this one too.
 func (r Record) explains(other Record) bool {
 	for _, c := range other.Crashes {
 		if !slices.Contains(r.Crashes, c) {
--- a/crlquarantine/registry.go
+++ b/crlquarantine/registry.go
@@ -11,34 +11,34 @@
 
 // Config configures a Registry.
 type Config struct {
-	// Owns reports whether this daemon is the one that sends probes with a part and deletes old records; nil for a daemon that does neither.
-	Owns func(Part) bool
+	// Owns reports whether this daemon is the one that sends probes with a suspect and deletes old records; nil for a daemon that does neither.
+	Owns func(Suspect) bool
 	Now  crlclock.Clock
-	// OnTransition is called when a part is quarantined or released, with the registry locked; nil for none.
+	// OnTransition is called when a suspect is quarantined or released, with the registry locked; nil for none.
 	OnTransition func(Transition)
 }
 
-// Transition is the start or end of the quarantine of a part.
+// Transition is the start or end of the quarantine of a suspect.
 type Transition struct {
 	Record      Record
 	Quarantined bool
 	Cause       string
 }
 
-// Registry holds the records of suspected parts.
+// Registry holds the records of suspects.
 type Registry struct {
 	config  Config
-	mu      sync.Mutex                // guards the fields below
-	entries map[Part]*entry           // at most maxEntries
-	started map[Part]crlclock.Instant // when an answer with the part began last at this daemon; at most maxStarted
-	changed chan struct{}             // holds a token when there are changes to write
+	mu      sync.Mutex                   // guards the fields below
+	entries map[Suspect]*entry           // at most maxEntries
+	started map[Suspect]crlclock.Instant // when an answer with the suspect began last at this daemon; at most maxStarted
+	changed chan struct{}                // holds a token when there are changes to write
 }
 
-// entry is the record of a part with its state at this daemon.
+// entry is the record of a suspect with its state at this daemon.
 type entry struct {
 	record    Record
 	changedAt crlclock.Instant
-	stored    bool // the store has a record of the part
+	stored    bool // the store has a record of the suspect
 	dirty     bool // the record has what the store doesn't
 	cleared   bool // an answer has begun or the record is old, so the store's record is to be deleted
 	// quarantined is record.quarantined().
@@ -48,17 +48,17 @@
 const (
 	maxEntries = 256
 	maxStarted = 4096
-	// startedWithin is the time for which a part is not suspected after an answer on it has begun. A part that others use all the time is
+	// startedWithin is the time for which nothing is recorded of a suspect after an answer on it has begun. A part that others use all the time is
 	// in the requests of most crashes.
 	startedWithin = 2 * time.Second
-	// suspicionTime is the time after its latest crash for which a part that isn't quarantined stays suspected.
+	// suspicionTime is the time after its latest crash for which the record of a suspect that isn't quarantined is kept.
 	suspicionTime = time.Minute
-	// quarantineTime is the time without crash or probe after which a record is deleted, as no more requests with its part come.
+	// quarantineTime is the time without crash or probe after which a record is deleted, as no more requests with the suspect come.
 	quarantineTime = 30 * time.Minute
 	firstProbe     = 2 * time.Second // time from the latest crash to the first probe
 	probeFactor    = 4               // by which the time to the next probe grows with each
 	maxProbeTime   = 10 * time.Minute
-	maxParts       = 64 // parts of one request that are suspected
+	maxSuspects    = 64 // suspects of one request of which crashes and answers are recorded
 	minRetryAfter  = time.Second
 	maxRetryAfter  = 30 * time.Second
 	retrySpread    = 300 * time.Millisecond // over which callers are told to return
@@ -67,26 +67,26 @@
 // New returns a Registry without records.
 func New(config Config) *Registry {
 	if config.Owns == nil {
-		config.Owns = func(Part) bool { return false }
+		config.Owns = func(Suspect) bool { return false }
 	}
 	if config.OnTransition == nil {
 		config.OnTransition = func(Transition) {}
 	}
 	return &Registry{
-		config: config, entries: make(map[Part]*entry), started: make(map[Part]crlclock.Instant), changed: make(chan struct{}, 1),
+		config: config, entries: make(map[Suspect]*entry), started: make(map[Suspect]crlclock.Instant), changed: make(chan struct{}, 1),
 	}
 }
 
 // Verdict is the decision on a request.
 type Verdict struct {
 	Quarantined bool
-	Part        Part          // the quarantined part
+	Suspect     Suspect       // the quarantined suspect
 	RetryAfter  time.Duration // time after which the request may be sent, as far as is known
 }
 
-// Check decides whether a request with the given parts may be sent to a server. If it decides that a request with a quarantined part is
+// Check decides whether a request with the given suspects may be sent to a server. If it decides that a request with a quarantined suspect is
 // sent as a probe, it records that.
-func (r *Registry) Check(parts []Part) Verdict {
+func (r *Registry) Check(suspects []Suspect) Verdict {
 	now := r.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,8 +94,8 @@
 		return Verdict{}
 	}
 	var blocking []*entry
-	for _, p := range parts {
-		if e := r.entries[p]; e != nil && e.quarantined && !r.explainedWithout(e, parts) {
+	for _, suspect := range suspects {
+		if e := r.entries[suspect]; e != nil && e.quarantined && !r.explainedWithout(e, suspects) {
 			blocking = append(blocking, e)
 		}
 	}
@@ -103,19 +103,19 @@
 		return Verdict{}
 	}
 	e := blocking[0]
-	// A probe with several quarantined parts would not tell which of them crashes servers.
-	if len(blocking) == 1 && now >= e.nextProbe() && r.config.Owns(e.record.Part) {
+	// A probe with several suspects in quarantine would not tell which of them crashes servers.
+	if len(blocking) == 1 && now >= e.nextProbe() && r.config.Owns(e.record.Suspect) {
 		e.record.Probes++
 		r.touch(e, now)
 		return Verdict{}
 	}
-	return Verdict{Quarantined: true, Part: e.record.Part, RetryAfter: retryAfter(e.nextProbe().Sub(now))}
+	return Verdict{Quarantined: true, Suspect: e.record.Suspect, RetryAfter: retryAfter(e.nextProbe().Sub(now))}
 }
 
-// explainedWithout reports whether a quarantined part that a request lacks explains all crashes of one of its parts.
-func (r *Registry) explainedWithout(e *entry, parts []Part) bool {
-	for part, other := range r.entries {
-		if other.quarantined && !slices.Contains(parts, part) && other.record.explains(e.record) {
+// explainedWithout reports whether a quarantined suspect that a request lacks explains all crashes of one of its suspects.
+func (r *Registry) explainedWithout(e *entry, suspects []Suspect) bool {
+	for suspect, other := range r.entries {
+		if other.quarantined && !slices.Contains(suspects, suspect) && other.record.explains(e.record) {
 			return true
 		}
 	}
@@ -145,12 +145,12 @@
 	}
 }
 
-// RecordCrash records that a server crashed as it began the answer to a request with the given parts.
-func (r *Registry) RecordCrash(crash Crash, parts []Part) {
+// RecordCrash records that a server crashed as it began the answer to a request with the given suspects.
+func (r *Registry) RecordCrash(crash Crash, suspects []Suspect) {
 	now := r.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, p := range parts[:min(len(parts), maxParts)] {
+	for _, p := range suspects[:min(len(suspects), maxSuspects)] {
 		startedAt, ok := r.started[p]
 		if p == "" || len(p) > maxPartBytes || ok && now.Sub(startedAt) < startedWithin {
 			continue
@@ -174,10 +174,10 @@
 	}
 }
 
-// entry returns the entry of a part, and adds one if there is none. If there are maxEntries, the one that changed first is evicted of those that
+// entry returns the entry of a suspect, and adds one if there is none. If there are maxEntries, the one that changed first is evicted of those that
 // are neither quarantined nor in the store, where nobody would delete it; nil if there is none. The caller holds the lock.
-func (r *Registry) entry(part Part, now crlclock.Instant) *entry {
-	if e, ok := r.entries[part]; ok {
+func (r *Registry) entry(suspect Suspect, now crlclock.Instant) *entry {
+	if e, ok := r.entries[suspect]; ok {
 		return e
 	}
 	if len(r.entries) >= maxEntries {
@@ -190,19 +190,19 @@
 		if oldest == nil {
 			return nil
 		}
-		delete(r.entries, oldest.record.Part)
+		delete(r.entries, oldest.record.Suspect)
 	}
-	e := &entry{record: Record{Part: part}, changedAt: now}
-	r.entries[part] = e
+	e := &entry{record: Record{Suspect: suspect}, changedAt: now}
+	r.entries[suspect] = e
 	return e
 }
 
-// RecordStart records that an answer to a request with the given parts has begun, which clears them.
-func (r *Registry) RecordStart(parts []Part) {
+// RecordStart records that an answer to a request with the given suspects has begun, which clears them.
+func (r *Registry) RecordStart(suspects []Suspect) {
 	now := r.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, p := range parts[:min(len(parts), maxParts)] {
+	for _, p := range suspects[:min(len(suspects), maxSuspects)] {
 		r.noteStarted(p, now)
 		if e := r.entries[p]; e != nil && !e.cleared {
 			r.clear(e, now, "an answer has begun")
@@ -210,9 +210,9 @@
 	}
 }
 
-// noteStarted records when an answer with a part began. The caller holds the lock.
-func (r *Registry) noteStarted(part Part, now crlclock.Instant) {
-	if _, ok := r.started[part]; !ok && len(r.started) >= maxStarted {
+// noteStarted records when an answer with a suspect began. The caller holds the lock.
+func (r *Registry) noteStarted(suspect Suspect, now crlclock.Instant) {
+	if _, ok := r.started[suspect]; !ok && len(r.started) >= maxStarted {
 		for p, at := range r.started {
 			if now.Sub(at) >= startedWithin {
 				delete(r.started, p)
@@ -222,14 +222,14 @@
 			return
 		}
 	}
-	r.started[part] = now
+	r.started[suspect] = now
 }
 
-// clear ends the suspicion of a part and has its record deleted. The caller holds the lock.
+// clear forgets the crashes of a suspect and has its record deleted. The caller holds the lock.
 func (r *Registry) clear(e *entry, now crlclock.Instant, cause string) {
-	r.update(e, Record{Part: e.record.Part}, cause)
+	r.update(e, Record{Suspect: e.record.Suspect}, cause)
 	if !e.stored {
-		delete(r.entries, e.record.Part)
+		delete(r.entries, e.record.Suspect)
 		return
 	}
 	e.cleared = true
@@ -241,7 +241,7 @@
 	now := r.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.entry(record.Part, now)
+	e := r.entry(record.Suspect, now)
 	if e == nil {
 		return
 	}
@@ -255,13 +255,13 @@
 	r.update(e, merged, "servers crashed, as another daemon observed")
 }
 
-// Remove removes the record of a part that the store no longer has.
-func (r *Registry) Remove(part Part) {
+// Remove removes the record of a suspect that the store no longer has.
+func (r *Registry) Remove(suspect Suspect) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e, ok := r.entries[part]; ok {
-		r.update(e, Record{Part: part}, "another daemon released it")
-		delete(r.entries, part)
+	if e, ok := r.entries[suspect]; ok {
+		r.update(e, Record{Suspect: suspect}, "another daemon released it")
+		delete(r.entries, suspect)
 	}
 }
 
@@ -279,12 +279,12 @@
 	now := r.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for part, e := range r.entries {
+	for suspect, e := range r.entries {
 		limit := suspicionTime
 		if e.quarantined {
 			limit = quarantineTime
 		}
-		if !e.dirty && now.Sub(e.changedAt) > limit && r.config.Owns(part) {
+		if !e.dirty && now.Sub(e.changedAt) > limit && r.config.Owns(suspect) {
 			r.clear(e, now, "no request for a long time")
 		}
 		if e.dirty {
@@ -294,7 +294,7 @@
 	return changes
 }
 
-// Quarantined returns the number of quarantined parts.
+// Quarantined returns the number of suspects in quarantine.
 func (r *Registry) Quarantined() (count int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/crlquarantine/registry_test.go
+++ b/crlquarantine/registry_test.go
@@ -15,11 +15,11 @@
 
 // newRegistry returns a registry that owns all parts or none.
 func newRegistry(owns bool) *Registry {
-	return New(Config{Owns: func(Part) bool { return owns }, Now: crlclock.NewMonotonic()})
+	return New(Config{Owns: func(Suspect) bool { return owns }, Now: crlclock.NewMonotonic()})
 }
 
 // crash records the crash of a server with a request.
-func crash(r *Registry, request, server int, parts ...Part) {
+func crash(r *Registry, request, server int, parts ...Suspect) {
 	r.RecordCrash(Crash{Request: crlid.Request(fmt.Sprint("r", request)), Server: crlid.Server(fmt.Sprint("i-", server))}, parts)
 }
 
@@ -28,56 +28,56 @@
 	for _, tc := range []struct {
 		name    string
 		crashes func(r *Registry)
-		parts   []Part
+		parts   []Suspect
 		want    bool
 	}{
-		{"no crash", func(*Registry) {}, []Part{"a", "b"}, false},
-		{"one request", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 1, 2, "a", "b") }, []Part{"a", "b"}, false},
-		{"one server", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 1, "a", "b") }, []Part{"a", "b"}, false},
-		{"two requests", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "c", "b") }, []Part{"d", "b"}, true},
-		{"beside the part", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "c", "b") }, []Part{"a", "c"}, false},
-		{"both parts of all crashes", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "a", "b") }, []Part{"a", "b"}, true},
+		{"no crash", func(*Registry) {}, []Suspect{"a", "b"}, false},
+		{"one request", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 1, 2, "a", "b") }, []Suspect{"a", "b"}, false},
+		{"one server", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 1, "a", "b") }, []Suspect{"a", "b"}, false},
+		{"two requests", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "c", "b") }, []Suspect{"d", "b"}, true},
+		{"beside the part", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "c", "b") }, []Suspect{"a", "c"}, false},
+		{"both parts of all crashes", func(r *Registry) { crash(r, 1, 1, "a", "b"); crash(r, 2, 2, "a", "b") }, []Suspect{"a", "b"}, true},
 		{"one part of all crashes, which the other explains", func(r *Registry) {
 			crash(r, 1, 1, "a", "b")
 			crash(r, 2, 2, "a", "b")
-		}, []Part{"a", "c"}, false},
+		}, []Suspect{"a", "c"}, false},
 		{"the part that explains more", func(r *Registry) {
 			crash(r, 1, 1, "a", "b")
 			crash(r, 2, 2, "a", "b")
 			crash(r, 3, 3, "c", "b")
-		}, []Part{"c", "b"}, true},
+		}, []Suspect{"c", "b"}, true},
 		{"several parts", func(r *Registry) {
 			crash(r, 1, 1, "a")
 			crash(r, 2, 2, "b")
 			crash(r, 3, 3, "a")
 			crash(r, 4, 4, "b")
-		}, []Part{"b"}, true},
+		}, []Suspect{"b"}, true},
 		{"an answer has begun since", func(r *Registry) {
 			crash(r, 1, 1, "a")
 			crash(r, 2, 2, "a")
-			r.RecordStart([]Part{"a"})
-		}, []Part{"a"}, false},
+			r.RecordStart([]Suspect{"a"})
+		}, []Suspect{"a"}, false},
 		{"an answer has begun in between", func(r *Registry) {
 			crash(r, 1, 1, "a")
-			r.RecordStart([]Part{"a"})
+			r.RecordStart([]Suspect{"a"})
 			crash(r, 2, 2, "a")
-		}, []Part{"a"}, false},
+		}, []Suspect{"a"}, false},
 		{"in use just before", func(r *Registry) {
-			r.RecordStart([]Part{"a"})
+			r.RecordStart([]Suspect{"a"})
 			crash(r, 1, 1, "a", "b")
 			crash(r, 2, 2, "a", "b")
-		}, []Part{"a"}, false},
+		}, []Suspect{"a"}, false},
 		{"in use long before", func(r *Registry) {
-			r.RecordStart([]Part{"a"})
+			r.RecordStart([]Suspect{"a"})
 			time.Sleep(startedWithin)
 			crash(r, 1, 1, "a")
 			crash(r, 2, 2, "a")
-		}, []Part{"a"}, true},
-		{"empty identifier", func(r *Registry) { crash(r, 1, 1, ""); crash(r, 2, 2, "") }, []Part{""}, false},
+		}, []Suspect{"a"}, true},
+		{"empty identifier", func(r *Registry) { crash(r, 1, 1, ""); crash(r, 2, 2, "") }, []Suspect{""}, false},
 		{"long identifier", func(r *Registry) {
-			crash(r, 1, 1, Part(fmt.Sprintf("%300d", 1)))
-			crash(r, 2, 2, Part(fmt.Sprintf("%300d", 1)))
-		}, []Part{Part(fmt.Sprintf("%300d", 1))}, false},
+			crash(r, 1, 1, Suspect(fmt.Sprintf("%300d", 1)))
+			crash(r, 2, 2, Suspect(fmt.Sprintf("%300d", 1)))
+		}, []Suspect{Suspect(fmt.Sprintf("%300d", 1))}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -104,10 +104,10 @@
 		var probes []time.Duration
 		for time.Since(start) < time.Hour {
 			time.Sleep(100 * time.Millisecond)
-			if !other.Check([]Part{"a"}).Quarantined {
+			if !other.Check([]Suspect{"a"}).Quarantined {
 				t.Fatal("a daemon that doesn't own the part sends a request with it")
 			}
-			if !owner.Check([]Part{"a"}).Quarantined {
+			if !owner.Check([]Suspect{"a"}).Quarantined {
 				probes = append(probes, time.Since(start).Round(time.Second))
 			}
 		}
@@ -122,14 +122,14 @@
 func TestProbeWithSeveralQuarantinedPartsIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegistry(true)
-		for n, p := range []Part{"a", "b", "a", "b"} {
+		for n, p := range []Suspect{"a", "b", "a", "b"} {
 			crash(r, n, n, p)
 		}
 		time.Sleep(time.Minute)
-		if !r.Check([]Part{"a", "b"}).Quarantined {
+		if !r.Check([]Suspect{"a", "b"}).Quarantined {
 			t.Error("a request with two quarantined parts is sent")
 		}
-		if r.Check([]Part{"a"}).Quarantined {
+		if r.Check([]Suspect{"a"}).Quarantined {
 			t.Error("no probe of a part is sent after a minute")
 		}
 	})
@@ -142,18 +142,18 @@
 		r := newRegistry(false)
 		crash(r, 1, 1, "a")
 		crash(r, 2, 2, "a")
-		r.Apply(Record{Part: "s0", Crashes: []Crash{{"r", "i"}}})
+		r.Apply(Record{Suspect: "s0", Crashes: []Crash{{"r", "i"}}})
 		for n := range 20000 {
 			time.Sleep(time.Millisecond)
-			part := Part(fmt.Sprint("p", n))
+			part := Suspect(fmt.Sprint("p", n))
 			crash(r, n, n%9, part)
-			r.RecordStart([]Part{Part(fmt.Sprint("q", n))})
-			r.Apply(Record{Part: Part(fmt.Sprint("s", n)), Crashes: []Crash{{Request: "r", Server: "i"}}})
+			r.RecordStart([]Suspect{Suspect(fmt.Sprint("q", n))})
+			r.Apply(Record{Suspect: Suspect(fmt.Sprint("s", n)), Crashes: []Crash{{Request: "r", Server: "i"}}})
 		}
 		if len(r.entries) > maxEntries || len(r.started) > maxStarted {
 			t.Errorf("%d records and %d started parts, want at most %d and %d", len(r.entries), len(r.started), maxEntries, maxStarted)
 		}
-		if !r.Check([]Part{"a"}).Quarantined {
+		if !r.Check([]Suspect{"a"}).Quarantined {
 			t.Error("a quarantined part was evicted for parts that are only suspected")
 		}
 		if e := r.entries["s0"]; e == nil || !e.stored {
@@ -166,23 +166,23 @@
 func TestOldRecordsAreDeleted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegistry(true)
-		suspected := Record{Part: "s", Crashes: []Crash{{"r1", "i-1"}}}
-		quarantined := Record{Part: "q", Crashes: []Crash{{"r1", "i-1"}, {"r2", "i-2"}}}
+		suspected := Record{Suspect: "s", Crashes: []Crash{{"r1", "i-1"}}}
+		quarantined := Record{Suspect: "q", Crashes: []Crash{{"r1", "i-1"}, {"r2", "i-2"}}}
 		r.Apply(suspected)
 		r.Apply(quarantined)
-		deletes := func() (parts []Part) {
+		deletes := func() (parts []Suspect) {
 			for _, c := range r.Due() {
 				if c.Delete {
-					parts = append(parts, c.Record.Part)
-					r.Remove(c.Record.Part)
+					parts = append(parts, c.Record.Suspect)
+					r.Remove(c.Record.Suspect)
 				}
 			}
 			return parts
 		}
 		for _, step := range []struct {
 			sleep time.Duration
-			want  []Part
-		}{{suspicionTime, nil}, {time.Second, []Part{"s"}}, {quarantineTime - suspicionTime - time.Minute, nil}, {time.Minute, []Part{"q"}}} {
+			want  []Suspect
+		}{{suspicionTime, nil}, {time.Second, []Suspect{"s"}}, {quarantineTime - suspicionTime - time.Minute, nil}, {time.Minute, []Suspect{"q"}}} {
 			time.Sleep(step.sleep)
 			if got := deletes(); !cmp.Equal(got, step.want) {
 				t.Errorf("%s later: deleted %v, want %v", step.sleep, got, step.want)
@@ -196,7 +196,7 @@
 func TestDaemonsAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := crlclock.Instant(time.Hour)
-		store := make(map[Part]Record)
+		store := make(map[Suspect]Record)
 		var daemons []*Registry
 		for range 3 {
 			daemons = append(daemons, New(Config{Now: func() crlclock.Instant { return clock }}))
@@ -204,7 +204,7 @@
 		broadcast := func(c Change) {
 			for _, d := range daemons {
 				if c.Delete {
-					d.Remove(c.Record.Part)
+					d.Remove(c.Record.Suspect)
 				} else {
 					d.Apply(c.Record)
 				}
@@ -214,9 +214,9 @@
 			changes := d.Due()
 			for _, c := range changes {
 				if c.Delete {
-					delete(store, c.Record.Part)
+					delete(store, c.Record.Suspect)
 				} else {
-					store[c.Record.Part] = c.Record
+					store[c.Record.Suspect] = c.Record
 				}
 				broadcast(c)
 			}
@@ -225,12 +225,12 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			clock = clock.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			d := daemons[rapid.IntRange(0, 2).Draw(t, "daemon")]
-			part := Part(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "part"))
+			part := Suspect(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "part"))
 			switch rapid.IntRange(0, 2).Draw(t, "kind") {
 			case 0:
 				crash(d, rapid.IntRange(0, 5).Draw(t, "request"), rapid.IntRange(0, 5).Draw(t, "server"), part)
 			case 1:
-				d.RecordStart([]Part{part})
+				d.RecordStart([]Suspect{part})
 			default:
 				write(d)
 			}
@@ -241,7 +241,7 @@
 			}
 		}
 		for n, d := range daemons {
-			for _, part := range []Part{"a", "b"} {
+			for _, part := range []Suspect{"a", "b"} {
 				held, ok := d.entries[part]
 				stored, inStore := store[part]
 				if ok != inStore || ok && (held.quarantined != stored.quarantined() || !held.record.explains(stored)) {
@@ -254,7 +254,7 @@
 
 // TestRecordsAreDecoded checks what is taken for a record.
 func TestRecordsAreDecoded(t *testing.T) {
-	whole := Record{Part: "a", Crashes: []Crash{{"r1", "i-1"}, {"r2", "i-2"}}, Probes: 3}
+	whole := Record{Suspect: "a", Crashes: []Crash{{"r1", "i-1"}, {"r2", "i-2"}}, Probes: 3}
 	value, err := whole.Encode()
 	if err != nil {
 		t.Fatal(err)
--- a/crlrouter/quarantine.go
+++ b/crlrouter/quarantine.go
@@ -39,8 +39,8 @@
 }
 
 // ownsPart returns a function that reports whether this daemon holds the slot of a part.
-func ownsPart(slots *crlbudget.SlotLeases, now crlclock.Clock) func(crlquarantine.Part) bool {
-	return func(part crlquarantine.Part) bool {
+func ownsPart(slots *crlbudget.SlotLeases, now crlclock.Clock) func(crlquarantine.Suspect) bool {
+	return func(part crlquarantine.Suspect) bool {
 		return slots.Holds(crlbudget.Slot(xxhash.Sum64String(string(part))%uint64(slots.Count())), now())
 	}
 }
@@ -48,7 +48,7 @@
 // logQuarantine returns a function that logs the start and the end of quarantines.
 func logQuarantine(logger *crllog.Logger) func(crlquarantine.Transition) {
 	return func(t crlquarantine.Transition) {
-		logger.Event(EventQuarantine, slog.String("part", string(t.Record.Part)), slog.Bool("quarantined", t.Quarantined),
+		logger.Event(EventQuarantine, slog.String("part", string(t.Record.Suspect)), slog.Bool("quarantined", t.Quarantined),
 			slog.String("cause", t.Cause), slog.Any("crashes", t.Record.Crashes))
 	}
 }
@@ -56,7 +56,7 @@
 // apply applies records that any daemon wrote.
 func (l *quarantineLedger) apply(records []crlplatform.KeyedRecord, _ crlclock.Instant) {
 	for _, r := range records {
-		part := crlquarantine.Part(r.Key)
+		part := crlquarantine.Suspect(r.Key)
 		if r.Deleted {
 			l.registry.Remove(part)
 			continue
@@ -106,7 +106,7 @@
 // write appends a change on the condition that the topic still ends where the replica does, so that what another daemon has written meanwhile
 // is merged first. It returns the mean pause until the next try, 0 if it succeeded.
 func (l *quarantineLedger) write(ctx context.Context, change crlquarantine.Change) time.Duration {
-	record := crlplatform.KeyedRecord{Key: string(change.Record.Part), Deleted: change.Delete}
+	record := crlplatform.KeyedRecord{Key: string(change.Record.Suspect), Deleted: change.Delete}
 	if !change.Delete {
 		value, err := change.Record.Encode()
 		if err != nil {
