Keep a request from servers if it crashes each that runs it

Cause: the quarantine knows only shared parts of prompts. A plain request has none, a repeat counts as a new request, and a connection that ends before the head of an answer counts as a lost answer. The class is that of the parts: a failure is attributed to the server alone, and the request is tried again at its expense.

Change: a request with all its repeats (same caller, method, host, path, body) is a suspect in the same registry and topic. A crash of it is recorded if the server refuses connections after the end and the next server did not answer either; two requests on two servers quarantine it at all routers. An answer clears it. Three probes at most, as each may cost a server. Streams and plain routes; no digest is computed while nothing is suspected.

--- a/crlforward/quarantine_test.go
+++ b/crlforward/quarantine_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlid"
 )
 
 // TestRequestsThatCrashServers checks how requests end whose servers crash as they begin the answers, and what later requests with a part of their
@@ -58,6 +63,63 @@
 	}
 }
 
+// TestRepeatsOfRequestsThatCrashServers checks what the repeats of a plain request or a stream get whose servers end as they run it, and what other
+// requests do. Only a server that refuses connections afterwards has ended.
+func TestRepeatsOfRequestsThatCrashServers(t *testing.T) {
+	sound, broken := answers("done"), breaksAfter("do")
+	for _, tc := range []struct {
+		name    string
+		path    string
+		bodies  []string // of the requests, one after the other
+		callers []string // API keys of their callers; nil for the same one
+		alive   bool     // whether servers accept connections after they have lost an answer
+		steps   []step
+		status  int // of the last request
+		sends   int // of all
+	}{
+		{"lookup, first request", "/read/1", []string{"a"}, nil, false, []step{losesAnswer, losesAnswer}, http.StatusBadGateway, 2},
+		{"lookup, third request", "/read/1", []string{"a", "a", "a"}, nil, false, []step{losesAnswer, losesAnswer, losesAnswer}, http.StatusServiceUnavailable, 3},
+		{"lookup whose answers break off", "/read/1", []string{"a", "a", "a"}, nil, false, []step{broken, broken, broken}, http.StatusServiceUnavailable, 3},
+		{"filing, second request", "/file/1", []string{"a", "a"}, nil, false, []step{losesAnswer, losesAnswer}, http.StatusBadGateway, 2},
+		{"filing, third request", "/file/1", []string{"a", "a", "a"}, nil, false, []step{losesAnswer, losesAnswer}, http.StatusServiceUnavailable, 2},
+		{"stream, third request", "/draft/1", []string{"a", "a", "a"}, nil, false, []step{losesAnswer, losesAnswer, losesAnswer}, http.StatusServiceUnavailable, 3},
+		{"other body", "/file/1", []string{"a", "a", "b"}, nil, false, []step{losesAnswer, losesAnswer, sound}, http.StatusOK, 3},
+		{"other caller", "/file/1", []string{"a", "a", "a"}, []string{"key", "key", "key2"}, false, []step{losesAnswer, losesAnswer, sound}, http.StatusOK, 3},
+		{"servers that lose answers", "/file/1", []string{"a", "a", "a"}, nil, true, []step{losesAnswer, losesAnswer, sound}, http.StatusOK, 3},
+		{"answered by the second server", "/read/1", []string{"a", "a"}, nil, false, []step{losesAnswer, sound, losesAnswer, sound}, http.StatusOK, 4},
+		{"answered in between", "/file/1", []string{"a", "a", "a", "a"}, nil, false, []step{losesAnswer, sound, losesAnswer, sound}, http.StatusOK, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(tc.steps...)
+				if !tc.alive {
+					c.probeErr = syscall.ECONNREFUSED
+				}
+				var got *httptest.ResponseRecorder
+				for n, body := range tc.bodies {
+					for _, sent := range c.backend.sent { // What has answered or crashed before is away.
+						c.fleet.Remove(crlid.Server(sent.Header.Get("X-Server")))
+					}
+					header := map[string]string{"X-Request": fmt.Sprint("r", n), "X-Key": "key", "X-Body": body}
+					if tc.callers != nil {
+						header["X-Key"] = tc.callers[n]
+					}
+					got, _ = c.call(t.Context(), tc.path, header)
+				}
+				if got.Code != tc.status || len(c.backend.sent) != tc.sends {
+					t.Errorf("last request got %d after %d sends of all, want %d after %d", got.Code, len(c.backend.sent), tc.status, tc.sends)
+				}
+				if got.Code == http.StatusServiceUnavailable && got.Body.String() != ReasonCrashes+"\n" {
+					t.Errorf("refused for %q, want %s", got.Body, ReasonCrashes)
+				}
+				if retryAfter := got.Header().Get("Retry-After"); (retryAfter != "") != (tc.status == http.StatusServiceUnavailable) {
+					t.Errorf("status %d has Retry-After %q", got.Code, retryAfter)
+				}
+			})
+		})
+	}
+}
+
 // TestCallersThatLeaveQuarantineNothing guards against parts that are kept from servers because callers leave, or deadlines pass, before
 // answers begin.
 func TestCallersThatLeaveQuarantineNothing(t *testing.T) {
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -48,7 +48,7 @@
 			return s.handleBrokenStream(ctx, x, err)
 		}
 		if events.count == 1 && err == nil {
-			s.config.Quarantine.RecordStart(x.sharedParts())
+			s.recordStart(x, x.sharedParts())
 		}
 		comparison.countEvent()
 		id, numbered := eventID(event)
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -110,7 +110,7 @@
 	if response.StatusCode < http.StatusMultipleChoices && x.route.Kind == crlroute.KindStream {
 		v, result.Outcome = s.relayStream(ctx, x, pick, response, head, plan, comparison)
 	} else {
-		v, result.Outcome = s.relayPlain(ctx, x, response, head)
+		v, result.Outcome = s.relayPlain(ctx, x, pick, response, head)
 	}
 	s.timeFactors.observe(plan.model(), x.head.PromptTokens, result.FirstByte)
 	comparison.recordOutcome(result)
@@ -226,6 +226,7 @@
 		}
 		return verdictAgain
 	}
+	s.recordLostAnswer(ctx, x, pick)
 	result.Outcome = failureOutcome(ctx)
 	comparison.recordOutcome(*result)
 	return s.retryVerdict(x)
@@ -254,7 +255,9 @@
 // before it is complete or longer than maxHeldReplyBytes, so that the request can be sent to another server after an
 // incomplete answer, a 5xx status or a success without a signature. An answer to a send that should have gone on with a started
 // stream is dropped.
-func (s *Service) relayPlain(ctx context.Context, x *exchange, response *http.Response, head AnswerHead) (verdict, crlfleet.Outcome) {
+func (s *Service) relayPlain(
+	ctx context.Context, x *exchange, pick *crlfleet.Pick, response *http.Response, head AnswerHead,
+) (verdict, crlfleet.Outcome) {
 	if x.stream.started {
 		x.trace.cause = "backend server did not go on with the stream"
 		return s.retryVerdict(x), crlfleet.OutcomeFailed
@@ -272,6 +275,7 @@
 			return verdictFinal, crlfleet.OutcomeNeutral
 		}
 		x.trace.cause = err.Error()
+		s.recordLostAnswer(ctx, x, pick)
 		return s.retryVerdict(x), failureOutcome(ctx)
 	}
 	answer := &reply{status: response.StatusCode, header: response.Header, body: body}
@@ -283,6 +287,9 @@
 		return verdictFinal, crlfleet.OutcomeFailed
 	}
 	x.trace.status = answer.status
+	if x.route.Kind != crlroute.KindStream {
+		s.recordStart(x, nil)
+	}
 	if len(body) > maxHeldReplyBytes {
 		return s.relayOversized(x, answer, response)
 	}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -34,7 +34,7 @@
 	State              func() State // returns the newest known configuration; called for each request
 	Fleet              *crlfleet.Fleet
 	Rollouts           *crlrollout.Tracker
-	Quarantine         *crlquarantine.Registry // parts of prompts that crash servers; nil for one that only this Service feeds
+	Quarantine         *crlquarantine.Registry // what crashes servers; nil for one that only this Service feeds
 	Retries            *crlbudget.RetryBudget
 	Transport          http.RoundTripper
 	Probe              Probe // checks unresponsive servers; nil opens a TCP connection
@@ -129,8 +129,10 @@
 	failedDials   int                     // sends of the started stream that opened no connection; not counted in sends
 	reached       bool                    // whether a server may have received the request
 	retryPaid     bool                    // whether the retry budget was charged for the next send
-	crashes       int                     // sends whose answer broke off before it had an event
+	crashes       []crlquarantine.Crash   // servers that crashed on the request, as far as this daemon can tell
+	started       bool                    // whether an answer to the request has begun
 	parts         []crlquarantine.Suspect // see sharedParts
+	whole         crlquarantine.Suspect   // see wholeRequest
 	runs          int                     // sends after which a server may have started to execute the request
 	tried         map[crlid.Server]bool   // servers that the request was sent to
 	lastFailure   *reply                  // last answer with a 5xx status
@@ -157,6 +159,7 @@
 	refusal := s.admit(ctx, x)
 	if refusal == nil {
 		refusal = s.forward(ctx, x)
+		s.recordCrashes(x)
 	}
 	if refusal != nil {
 		s.refuse(x, refusal)
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -252,7 +253,7 @@
 	}
 	table := crlroute.NewTable(crlroute.TableConfig{
 		Routes: routes, Services: []crlroute.Service{{Name: "app"}}, RequireKeys: true,
-		Keys: map[string]crlroute.Organisation{"key": {Name: "firm"}}, Limits: crlroute.Limits{BodyBytes: 100},
+		Keys: map[string]crlroute.Organisation{"key": {Name: "firm"}, "key2": {Name: "firm-2"}}, Limits: crlroute.Limits{BodyBytes: 100},
 	})
 	c.service = New(Config{
 		Dialect: dialect{}, Fleet: c.fleet, Rollouts: crlrollout.NewTracker(crlrollout.Config{Daemons: func() int { return 1 }}),
@@ -285,7 +286,7 @@
 
 // call sends a request and returns the answer. aborted reports whether the service aborted the connection within the answer.
 func (c *cluster) call(ctx context.Context, path string, header map[string]string) (recorder *httptest.ResponseRecorder, aborted bool) {
-	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body")).WithContext(ctx)
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader(cmp.Or(header["X-Body"], "body"))).WithContext(ctx)
 	r.RequestURI = path
 	r.Header.Set("X-Request", "r1")
 	r.Header.Set("X-Key", "key")
--- a/crlforward/watchdog.go
+++ b/crlforward/watchdog.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// hasEnded reports whether the host of a server replies that the server accepts no connections, as after its end.
+func (p *probes) hasEnded(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return errors.Is(p.probe(ctx, address), syscall.ECONNREFUSED)
+}
+
 // run probes an address until a probe doesn't lack a reply or probeTimeout has passed, and hands the result to all that wait for it.
 func (p *probes) run(ctx context.Context, address string, probe *sharedProbe) {
 	ctx, stop := context.WithTimeout(ctx, probeTimeout)
--- a/crlquarantine/record.go
+++ b/crlquarantine/record.go
@@ -8,10 +8,7 @@
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
 
-// Suspect identifies what may crash servers: a part of prompts, or a request that comes again.
-type Suspect string
-
-// Crash is the crash of a server as it began the answer to a request.
+// Crash is the crash of a server that ran a request.
 type Crash struct {
 	Request crlid.Request `json:"request"`
 	Server  crlid.Server  `json:"server"`
@@ -67,6 +64,11 @@
 	return true
 }
 
+// explainsAll reports whether every crash of the suspects of some entries is one of this suspect too.
+func (r Record) explainsAll(entries []*entry) bool {
+	return !slices.ContainsFunc(entries, func(e *entry) bool { return !r.explains(e.record) })
+}
+
 // merge returns the record with the crashes and probes of another version of it.
 func (r Record) merge(other Record) Record {
 	merged := slices.Clone(r.Crashes)
--- a/crlquarantine/registry.go
+++ b/crlquarantine/registry.go
@@ -1,6 +1,7 @@
 package crlquarantine
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -58,10 +59,13 @@
 	firstProbe     = 2 * time.Second // time from the latest crash to the first probe
 	probeFactor    = 4               // by which the time to the next probe grows with each
 	maxProbeTime   = 10 * time.Minute
-	maxSuspects    = 64 // suspects of one request of which crashes and answers are recorded
-	minRetryAfter  = time.Second
-	maxRetryAfter  = 30 * time.Second
-	retrySpread    = 300 * time.Millisecond // over which callers are told to return
+	// maxRequestProbes is the number of probes with a request. A part is in requests of many callers, who wait for its release; a request that
+	// goes on crashing servers is kept from them until no repeat of it was probed for quarantineTime.
+	maxRequestProbes = 3
+	maxSuspects      = 64 // suspects of one request of which crashes and answers are recorded
+	minRetryAfter    = time.Second
+	maxRetryAfter    = 30 * time.Second
+	retrySpread      = 300 * time.Millisecond // over which callers are told to return
 )
 
 // New returns a Registry without records.
@@ -93,7 +97,7 @@
 	if len(r.entries) == 0 {
 		return Verdict{}
 	}
-	var blocking []*entry
+	var blocking []*entry // of the quarantined suspects
 	for _, suspect := range suspects {
 		if e := r.entries[suspect]; e != nil && e.quarantined && !r.explainedWithout(e, suspects) {
 			blocking = append(blocking, e)
@@ -102,9 +106,8 @@
 	if len(blocking) == 0 {
 		return Verdict{}
 	}
-	e := blocking[0]
-	// A probe with several suspects in quarantine would not tell which of them crashes servers.
-	if len(blocking) == 1 && now >= e.nextProbe() && r.config.Owns(e.record.Suspect) {
+	e, conclusive := probed(blocking)
+	if conclusive && now >= e.nextProbe() && r.config.Owns(e.record.Suspect) {
 		e.record.Probes++
 		r.touch(e, now)
 		return Verdict{}
@@ -112,6 +115,18 @@
 	return Verdict{Quarantined: true, Suspect: e.record.Suspect, RetryAfter: retryAfter(e.nextProbe().Sub(now))}
 }
 
+// probed returns the entry of which a probe that has several quarantined suspects is one, and whether its end would tell whether that suspect
+// crashes servers. With several parts it would not. A request comes with its parts; unless one of these has crashes that the request hasn't,
+// only the request is probed.
+func probed(blocking []*entry) (e *entry, conclusive bool) {
+	for _, e := range blocking {
+		if e.record.Suspect.isRequest() && e.record.explainsAll(blocking) {
+			return e, true
+		}
+	}
+	return blocking[0], len(blocking) == 1
+}
+
 // explainedWithout reports whether a quarantined suspect that a request lacks explains all crashes of one of its suspects.
 func (r *Registry) explainedWithout(e *entry, suspects []Suspect) bool {
 	for suspect, other := range r.entries {
@@ -122,8 +137,14 @@
 	return false
 }
 
+// never is the moment of an event that doesn't come.
+const never = crlclock.Instant(math.MaxInt64)
+
 // nextProbe returns the earliest moment of the next probe.
 func (e *entry) nextProbe() crlclock.Instant {
+	if e.record.Suspect.isRequest() && e.record.Probes >= maxRequestProbes {
+		return never
+	}
 	pause := firstProbe
 	for range e.record.Probes {
 		pause = min(pause*probeFactor, maxProbeTime)
@@ -145,7 +166,7 @@
 	}
 }
 
-// RecordCrash records that a server crashed as it began the answer to a request with the given suspects.
+// RecordCrash records that a server crashed that ran a request with the given suspects.
 func (r *Registry) RecordCrash(crash Crash, suspects []Suspect) {
 	now := r.config.Now()
 	r.mu.Lock()
@@ -265,6 +286,21 @@
 	}
 }
 
+// Idle reports whether nothing is suspected, so that callers need not find the suspects of a request.
+func (r *Registry) Idle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries) == 0
+}
+
+// Suspects reports whether a crash of the suspect is on record.
+func (r *Registry) Suspects(suspect Suspect) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[suspect]
+	return e != nil && len(e.record.Crashes) > 0
+}
+
 // Changed returns a channel that gets a token when Due may return changes.
 func (r *Registry) Changed() <-chan struct{} { return r.changed }
 
--- a/crlquarantine/registry_test.go
+++ b/crlquarantine/registry_test.go
@@ -146,7 +146,7 @@
 		for n := range 20000 {
 			time.Sleep(time.Millisecond)
 			part := Suspect(fmt.Sprint("p", n))
-			crash(r, n, n%9, part)
+			crash(r, n, n%9, part, request(fmt.Sprint(n)))
 			r.RecordStart([]Suspect{Suspect(fmt.Sprint("q", n))})
 			r.Apply(Record{Suspect: Suspect(fmt.Sprint("s", n)), Crashes: []Crash{{Request: "r", Server: "i"}}})
 		}
@@ -196,7 +196,7 @@
 func TestDaemonsAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := crlclock.Instant(time.Hour)
-		store := make(map[Suspect]Record)
+		store, suspects := make(map[Suspect]Record), []Suspect{"a", "b", request("c")}
 		var daemons []*Registry
 		for range 3 {
 			daemons = append(daemons, New(Config{Now: func() crlclock.Instant { return clock }}))
@@ -225,7 +225,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			clock = clock.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			d := daemons[rapid.IntRange(0, 2).Draw(t, "daemon")]
-			part := Suspect(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "part"))
+			part := rapid.SampledFrom(suspects).Draw(t, "suspect")
 			switch rapid.IntRange(0, 2).Draw(t, "kind") {
 			case 0:
 				crash(d, rapid.IntRange(0, 5).Draw(t, "request"), rapid.IntRange(0, 5).Draw(t, "server"), part)
@@ -241,7 +241,7 @@
 			}
 		}
 		for n, d := range daemons {
-			for _, part := range []Suspect{"a", "b"} {
+			for _, part := range suspects {
 				held, ok := d.entries[part]
 				stored, inStore := store[part]
 				if ok != inStore || ok && (held.quarantined != stored.quarantined() || !held.record.explains(stored)) {
@@ -271,3 +271,87 @@
 		}
 	}
 }
+
+// request returns the suspect of a request with a body.
+func request(body string) Suspect { return RequestSuspect(Content{Target: "/", Body: []byte(body)}) }
+
+// TestRequestsAreTold checks which requests are taken for repeats of each other, and that no part of a prompt is taken for a request.
+func TestRequestsAreTold(t *testing.T) {
+	first := Content{Organisation: "firm", Method: "POST", Host: "h", Target: "/a?b", Body: []byte("c")}
+	if again := first; RequestSuspect(first) != RequestSuspect(again) {
+		t.Error("a repeat is another suspect")
+	}
+	for name, change := range map[string]func(*Content){
+		"other caller":     func(c *Content) { c.Organisation = "other" },
+		"other method":     func(c *Content) { c.Method = "PUT" },
+		"other host":       func(c *Content) { c.Host = "i" },
+		"other query":      func(c *Content) { c.Target = "/a?c" },
+		"other body":       func(c *Content) { c.Body = []byte("d") },
+		"same text joined": func(c *Content) { c.Target, c.Body = "/a?", []byte("bc") },
+	} {
+		other := first
+		change(&other)
+		if RequestSuspect(other) == RequestSuspect(first) {
+			t.Errorf("%s: taken for a repeat", name)
+		}
+	}
+	whole := RequestSuspect(first)
+	if len(whole) > maxPartBytes || PartSuspect(string(whole)) != "" || PartSuspect("a") != "a" {
+		t.Errorf("request is suspect %q, a part with that identifier %q", whole, PartSuspect(string(whole)))
+	}
+}
+
+// TestProbesOfRequestsEnd guards against a request that crashes servers and takes one more with each probe, for as long as it comes again.
+func TestProbesOfRequestsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(true)
+		crash(r, 1, 1, request("a"))
+		crash(r, 2, 2, request("a"))
+		probes := 0
+		for start := time.Now(); time.Since(start) < 10*time.Minute; time.Sleep(time.Second) {
+			verdict := r.Check([]Suspect{request("a")})
+			switch {
+			case !verdict.Quarantined:
+				probes++
+				crash(r, 10+probes, 10+probes, request("a"))
+			case verdict.RetryAfter > maxRetryAfter+retrySpread:
+				t.Fatalf("told to return after %s, want at most %s", verdict.RetryAfter, maxRetryAfter+retrySpread)
+			}
+		}
+		if probes != maxRequestProbes {
+			t.Errorf("%d probes in 10 minutes, want %d", probes, maxRequestProbes)
+		}
+		if r.Check([]Suspect{request("b")}).Quarantined {
+			t.Error("another request is kept from servers")
+		}
+	})
+}
+
+// TestRequestIsProbedWithItsParts checks when a request is probed whose parts are quarantined too: unless one of these has crashes of other requests.
+func TestRequestIsProbedWithItsParts(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		others func(r *Registry)
+		want   bool
+	}{
+		{"part of this request alone", func(*Registry) {}, true},
+		{"part of others that crash servers", func(r *Registry) { crash(r, 3, 3, "b", request("other")) }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegistry(true)
+				crash(r, 1, 1, request("a"), "b")
+				crash(r, 2, 2, request("a"), "b")
+				tc.others(r)
+				time.Sleep(time.Minute)
+				if got := !r.Check([]Suspect{request("a"), "b"}).Quarantined; got != tc.want {
+					t.Errorf("request is probed: %v, want %v", got, tc.want)
+				}
+				r.RecordStart([]Suspect{request("a"), "b"})
+				if r.Check([]Suspect{request("a"), "b"}).Quarantined {
+					t.Error("request and part are kept from servers after an answer")
+				}
+			})
+		})
+	}
+}
--- a/crlrouter/crashing_request_test.go
+++ b/crlrouter/crashing_request_test.go
@@ -179,6 +179,7 @@
 	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader(body))
 	r.RequestURI = path
 	r.Header.Set("X-Request", fmt.Sprint("r", c.sent))
+	r.Header.Set("X-Parts", fmt.Sprint("shared-", c.random.IntN(sharedParts), ",of-", body, ",own-", c.sent))
 	router, sentAt := c.routers[c.random.IntN(len(c.routers))], time.Now()
 	c.open.Go(func() {
 		recorder := httptest.NewRecorder()
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -33,7 +33,7 @@
 	Orders  string // operators' orders
 	Servers string // backend servers' entries
 	Status  string // status of roll-outs, which routers write
-	// Quarantine holds the suspected parts of prompts, which routers write.
+	// Quarantine holds what is suspected to crash backend servers, which routers write.
 	Quarantine string
 }
 
@@ -230,7 +230,7 @@
 		}),
 		gauge("shared_limits_part", "The daemon's part of limits that all daemons share.", r.members.share),
 		gauge("open_requests", "Requests that are held.", func() float64 { return float64(r.service.OpenRequests()) }),
-		gauge("quarantined_parts", "Parts of prompts that are kept from backend servers.", func() float64 {
+		gauge("quarantined_parts", "Parts of prompts and requests that are kept from backend servers.", func() float64 {
 			return float64(r.quarantine.registry.Quarantined())
 		}),
 		gauge("log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(r.config.Logger.Dropped()) }),
