--- a/cmd/cranberrylock-router/main.go
+++ b/cmd/cranberrylock-router/main.go
@@ -87,7 +87,7 @@
 			Orders: platform.TopicOrders, Servers: platform.TopicServers, Status: platform.TopicStatus, Quarantine: platform.TopicQuarantine,
 		},
 		Codec: platform.Codec{}, Dialect: platform.Dialect{}, Logger: logger, Clock: crlclock.BootTime, Reload: load, Hangup: hangup,
-		Transport: crlforward.NewTransport(),
+		Transport: crlforward.NewTransport(crlforward.TransportConfig{}),
 	})
 	return router.Run(stop)
 }
--- a/crlforward/endless_test.go
+++ b/crlforward/endless_test.go
@@ -107,7 +107,7 @@
 				_, _ = fmt.Fprintf(connection, "%s%sContent-Length: %d\r\n\r\n%s", status, signed, len(body), body)
 			})
 			c := newCluster()
-			c.service.config.Transport = NewTransport()
+			c.service.config.Transport = NewTransport(TransportConfig{})
 			for n := range 4 {
 				c.fleet.Remove(crlid.Server(fmt.Sprint("s", n)))
 			}
--- a/crlforward/transport.go
+++ b/crlforward/transport.go
@@ -20,6 +20,11 @@
 	maxHeadBytes          = 64 << 10 // a longer head of an answer ends the send
 )
 
+// TransportConfig configures the transport of sends.
+type TransportConfig struct {
+	Dial func(ctx context.Context, network, address string) (net.Conn, error) // opens connections; nil for TCP
+}
+
 // NewTransport returns a transport that opens a new connection for each send, at the cost of a round trip.
 //
 // With a connection per send it is certain which request an answer belongs to, and a send can't fail because a reused
@@ -27,9 +32,11 @@
 //
 // TCP_USER_TIMEOUT is not set: it closes a connection after a single unanswered keep-alive probe, and one whose server is alive
 // but does not read on.
-func NewTransport() *http.Transport {
-	dialer := &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+func NewTransport(config TransportConfig) *http.Transport {
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+		}).DialContext
 	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		timeout, ok := ctx.Value(dialTimeoutKey{}).(time.Duration)
@@ -38,7 +45,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		return dialer.DialContext(ctx, network, address)
+		return config.Dial(ctx, network, address)
 	}
 	return &http.Transport{
 		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
--- a/crlforward/transport_test.go
+++ b/crlforward/transport_test.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, err := NewTransport().RoundTrip(request)
+	response, err := NewTransport(TransportConfig{}).RoundTrip(request)
 	if err != nil {
 		return "", err
 	}
@@ -179,7 +179,7 @@
 			want = timeout
 		}
 		start := time.Now()
-		response, err := NewTransport().RoundTrip(request)
+		response, err := NewTransport(TransportConfig{}).RoundTrip(request)
 		if err == nil {
 			_ = response.Body.Close()
 		}
--- a/crlforward/unframed_test.go
+++ b/crlforward/unframed_test.go
@@ -113,7 +113,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			response, err := NewTransport().RoundTrip(request)
+			response, err := NewTransport(TransportConfig{}).RoundTrip(request)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/crlforward/watchdog_test.go
+++ b/crlforward/watchdog_test.go
@@ -46,7 +46,7 @@
 	c.fleet.Announce(crlfleet.Entry{
 		Server: "real", Service: "app", Address: listener.Addr().String(), Domain: "near", Version: crlid.Version("v1"),
 	}, c.now())
-	c.service.config.Transport = NewTransport()
+	c.service.config.Transport = NewTransport(TransportConfig{})
 	c.service.probes = newProbes(nil)
 	return c
 }
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -108,13 +108,14 @@
 	transport http.RoundTripper // carries sends to backend servers
 	probe     crlforward.Probe  // checks backend servers; nil for TCP
 	grace     time.Duration     // Bounds.Grace of the routers
+	domain    crlid.Domain      // failure domain of the next router to start
 	wire      *crlfake.Network  // carries calls between routers, encoded, instead of network; nil for none
 }
 
 func newCluster(store *memoryStore) *cluster {
 	return &cluster{
 		store: store, network: &peerNetwork{servers: make(map[string]*crlrelay.Server)}, clock: crlclock.NewMonotonic(), codec: testCodec{},
-		dialect: testDialect{},
+		dialect: testDialect{}, domain: "near",
 	}
 }
 
@@ -155,7 +156,7 @@
 	}
 	started := New(Config{
 		Settings: &Settings{
-			Daemon: crlid.Daemon(address(n)), Domain: "near", PeerListen: address(n), Seeds: seeds, Strength: n,
+			Daemon: crlid.Daemon(address(n)), Domain: c.domain, PeerListen: address(n), Seeds: seeds, Strength: n,
 			Bounds: Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.9, RetrySlack: 50, Grace: c.grace},
 		},
 		Store: view, Topics: Topics{Orders: "orders", Servers: "servers", Status: "status", Quarantine: "quarantine"},
