Reproduce falls of servers that state that they are brittle

Test: TestBrittleServersDontFallOver offers servers of six places between half and twice what they can work on, over 6 to 75 routers, and lets them wait for fewer once they state that they are brittle. 44 to 500 servers fall over in the 6 overloaded cases, of 2 and a tenth of their number allowed. The statement's fields and the number of places in a server's entry are there for the test; nothing reads them yet.

--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -19,6 +19,7 @@
 	Version   crlid.Version // version of the software that the server runs
 	Leaving   bool          // finishes its open requests and gets no new ones
 	ColdLeft  time.Duration // remaining time for which the server is cold and can handle only little load
+	Slots     int           // requests that the server works on at once, 0 if not announced
 	StartedAt time.Time     // start time of the server's process; when it changes, the server has lost its state
 }
 
--- a/crlfleet/statement.go
+++ b/crlfleet/statement.go
@@ -17,6 +17,9 @@
 	Pause     time.Duration // time for which the server wants no requests from this daemon, 0 for none
 	Limited   bool          // whether RateLimit is stated
 	RateLimit float64       // requests per second that the server takes from all daemons together, for as long as it states so
+	Brittle   bool          // the server falls over if it has to turn too many requests away
+	// MaxRejections is the number of requests that a brittle server can turn away in a second, from all daemons together.
+	MaxRejections float64
 }
 
 // causeRateLimit is the cause of a transition to StateLimited.
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -52,7 +52,7 @@
 	if string(r.Value) == "undecodable" {
 		return crlfleet.Entry{}, errors.New("undecodable entry")
 	}
-	return crlfleet.Entry{Server: crlid.Server(r.Key), Service: "s", Address: r.Key, Version: crlid.Version(r.Value), Domain: "near"}, nil
+	return crlfleet.Entry{Server: crlid.Server(r.Key), Service: "s", Address: r.Key, Version: crlid.Version(r.Value), Domain: "near", Slots: brittlePlaces}, nil
 }
 
 func (testCodec) DecodeStatus(r crlplatform.KeyedRecord) (crlrollout.Status, bool) {
