Send brittle servers no more than they work on at once

Callers would see: servers that state in their answers how many requests they can turn away in a second fall over one after the other, and the requests at them fail (LIMIT).

Cause: the statement is not read, and a server that turns a request away counts as full for that request only; the next one is sent to it as before.

Change: while a server states that it is brittle, its announced places are divided among the daemons, and each has at most as many requests open there. A rejection halves that for a time that follows from the statement. A daemon without a place hands its requests over.

TestPlacesOfABrittleServerAreDivided, TestRejectionReducesRequestsToABrittleServer and TestBrittlenessEnds are new.

--- /dev/null
+++ b/crlfleet/brittle_test.go
@@ -0,0 +1,137 @@
+package crlfleet
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlbudget"
+	"github.com/cranberrylock/cranberrylock/crlclock"
+)
+
+// brittle is a statement that a server can turn 2 requests a second away.
+var brittle = Statement{Brittle: true, MaxRejections: 2}
+
+// newBrittleFleet returns the fleet of one of several daemons, with one server of the given number of places that has stated that it is brittle.
+func newBrittleFleet(t *testing.T, clock *fakeClock, slots Slots, daemons, places int) *Fleet {
+	t.Helper()
+	f := newStatingFleet(clock, slots, daemons)
+	entry := testEntry(1)
+	entry.Slots = places
+	f.Announce(entry, clock.now)
+	p := mustPick(t, f, testNeed())
+	p.RecordStatement(brittle)
+	p.Done(Result{Outcome: OutcomeAnswered})
+	return f
+}
+
+// fill picks the server until it has no place left, and returns the picks and the error of the last try.
+func fill(f *Fleet) (picks []*Pick, err error) {
+	for range 100 {
+		p, err := f.Pick(testNeed())
+		if err != nil {
+			return picks, err
+		}
+		picks = append(picks, p)
+	}
+	return picks, nil
+}
+
+// otherSlots are the slots of a daemon that holds none of those that matter to the tests, but others.
+type otherSlots struct{ noSlots }
+
+func (otherSlots) Holds(slot crlbudget.Slot, _ crlclock.Instant) bool { return slot == testSlots-1 }
+
+// TestPlacesOfABrittleServerAreDivided checks how many requests a daemon may have open at a brittle server.
+func TestPlacesOfABrittleServerAreDivided(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		slots           Slots
+		daemons, places int
+		want            int
+		err             error
+	}{
+		{"alone", allSlots{}, 1, 6, 6, ErrRateLimit},
+		{"equal parts", noSlots{}, 6, 12, 2, ErrRateLimit},
+		{"equal parts and the rest", allSlots{}, 5, 12, 4, ErrRateLimit},
+		{"more daemons than places", otherSlots{}, 9, 6, 0, ErrNoPlace},
+		{"more daemons than places while the store is away", noSlots{}, 9, 6, 1, ErrRateLimit},
+		{"places not announced", noSlots{}, 9, 0, 1, ErrRateLimit},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := &fakeClock{now: crlclock.Instant(time.Hour)}
+			f := newBrittleFleet(t, clock, tc.slots, tc.daemons, tc.places)
+			picks, err := fill(f)
+			if len(picks) != tc.want || !errors.Is(err, tc.err) {
+				t.Errorf("%d open requests and error %v, want %d and %v", len(picks), err, tc.want, tc.err)
+			}
+			if len(picks) == 0 {
+				return
+			}
+			picks[0].Done(Result{Outcome: OutcomeAnswered})
+			if _, err := f.Pick(testNeed()); err != nil {
+				t.Errorf("no request may take the place of one that has ended: %v", err)
+			}
+		})
+	}
+}
+
+// TestRejectionReducesRequestsToABrittleServer guards against a server that turns request after request away until it falls over.
+func TestRejectionReducesRequestsToABrittleServer(t *testing.T) {
+	clock := &fakeClock{now: crlclock.Instant(time.Hour)}
+	f := newBrittleFleet(t, clock, allSlots{}, 1, 6)
+	reject := func() {
+		p := mustPick(t, f, testNeed())
+		p.RecordStatement(brittle)
+		p.Done(Result{Outcome: OutcomeFull})
+	}
+	open := func() int {
+		picks, _ := fill(f)
+		for _, p := range picks {
+			p.RecordStatement(brittle)
+			p.Done(Result{Outcome: OutcomeAnswered})
+		}
+		return len(picks)
+	}
+	reject() // of a request that others have filled the server before
+	if got := open(); got != 6 {
+		t.Errorf("%d open requests after a rejection within %s of the first statement, want 6", got, settleTime)
+	}
+	clock.advance(settleTime)
+	reject()
+	if got := open(); got != 3 {
+		t.Errorf("%d open requests after a rejection, want half of 6", got)
+	}
+	clock.advance(minReducedTime)
+	if got := open(); got != 6 {
+		t.Errorf("%d open requests %s after a rejection, want 6", got, minReducedTime)
+	}
+}
+
+// TestBrittlenessEnds checks that a server counts as brittle until an answer no longer states so, but not that to an older request, or it has
+// stated nothing for long.
+func TestBrittlenessEnds(t *testing.T) {
+	clock := &fakeClock{now: crlclock.Instant(time.Hour)}
+	f := newStatingFleet(clock, allSlots{}, 1)
+	older := mustPick(t, f, testNeed())
+	clock.advance(time.Second)
+	newer := mustPick(t, f, testNeed())
+	newer.RecordStatement(brittle)
+	older.RecordStatement(Statement{})
+	if _, err := f.Pick(testNeed()); !errors.Is(err, ErrRateLimit) {
+		t.Errorf("after an answer to an older request: error %v, want that there is no room", err)
+	}
+	clock.advance(time.Second)
+	older.Done(Result{Outcome: OutcomeAnswered})
+	newer.Done(Result{Outcome: OutcomeAnswered})
+	p := mustPick(t, f, testNeed())
+	p.RecordStatement(Statement{})
+	if picks, _ := fill(f); len(picks) != 100 {
+		t.Errorf("%d open requests after an answer without the statement, want no limit", len(picks))
+	}
+	p.RecordStatement(brittle)
+	clock.advance(brittleExpiry + time.Second)
+	if picks, _ := fill(f); len(picks) != 100 {
+		t.Errorf("%d open requests %s after the latest statement, want no limit", len(picks), brittleExpiry)
+	}
+}
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -66,6 +66,8 @@
 	StatePaused
 	// StateLimited servers state in their answers how many requests per second they take.
 	StateLimited
+	// StateBrittle servers state in their answers how many requests per second they can turn away.
+	StateBrittle
 )
 
 // Transition is one change of the state of a server.
@@ -86,6 +88,7 @@
 	pendingWork     float64 // work of this daemon's open requests, in seconds of an unloaded server
 	health          health
 	limit           *statedLimit // nil without one
+	brittle         *brittleness // nil for a server that isn't
 	pausedUntil     crlclock.Instant
 	statedLeaving   bool // an answer stated that the server leaves
 	removed         bool // the server no longer has an entry
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -18,7 +18,8 @@
 // Errors of Fleet.Pick.
 var (
 	ErrNoServer  = errors.New("no backend server of the service accepts requests")
-	ErrRateLimit = errors.New("every available backend server of the service is at its rate limit")
+	ErrRateLimit = errors.New("every available backend server of the service is at its rate limit or has no room")
+	ErrNoPlace   = errors.New("every backend server of the service is brittle, and all their places belong to other daemons")
 )
 
 // Need specifies what a request requires of a server.
@@ -65,8 +66,8 @@
 
 // Pick returns the allowed server with the lowest score. Servers of a preferred version come first, and among them those that
 // are neither in a backoff time nor delayed because their version is new to the service. It fails with ErrRateLimit if all servers
-// that could be picked are cold or state a limit, and are at their rate limit, with a *PausedError if all have
-// asked for a pause, and with ErrNoServer if there are none.
+// that could be picked are cold or state a limit, and are at their rate limit, or are brittle and have no room, with ErrNoPlace if this daemon has no
+// place at any, with a *PausedError if all have asked for a pause, and with ErrNoServer if there are none.
 func (f *Fleet) Pick(need Need) (*Pick, error) {
 	now := f.config.Now()
 	f.mu.Lock()
@@ -96,6 +97,8 @@
 	for _, s := range f.services[need.Service] {
 		switch {
 		case !f.inService(s) || !need.Allows(s.entry.Version) || need.Exclude[s.entry.Server]:
+		case s.pausedUntil <= now && f.lacksPlaces(need.Service):
+			return ErrNoPlace
 		case s.pausedUntil <= now:
 			return ErrRateLimit
 		case firstEnd == 0 || s.pausedUntil < firstEnd:
@@ -125,7 +128,7 @@
 func (f *Fleet) best(need Need, preferred, available bool, now crlclock.Instant) *server {
 	var candidates []*server
 	for _, s := range f.services[need.Service] {
-		if !f.inService(s) || s.pausedUntil > now || need.Exclude[s.entry.Server] || !need.Allows(s.entry.Version) ||
+		if !f.inService(s) || s.pausedUntil > now || !f.hasPlace(s, now) || need.Exclude[s.entry.Server] || !need.Allows(s.entry.Version) ||
 			preferred && !need.Prefers(s.entry.Version) || available && max(s.health.backoffUntil, s.newVersionUntil) > now {
 			continue
 		}
@@ -301,7 +304,11 @@
 		if h.recordFailure() {
 			f.suspend(p.server, now, "failures")
 		}
-	case OutcomeFull, OutcomeNeutral:
+	case OutcomeFull:
+		if b := p.server.brittle; b != nil {
+			b.recordRejection(max(f.config.Daemons(), 1), now)
+		}
+	case OutcomeNeutral:
 	}
 	if r.FirstByte > 0 && p.ExpectedFirstByte > 0 {
 		factor := min(float64(r.FirstByte)/float64(p.ExpectedFirstByte), maxLatencyFactor)
--- a/crlfleet/state_enumer.go
+++ b/crlfleet/state_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _StateName = "inleavinggonereborncoldsuspectpausedlimited"
+const _StateName = "inleavinggonereborncoldsuspectpausedlimitedbrittle"
 
-var _StateIndex = [...]uint8{0, 2, 9, 13, 19, 23, 30, 36, 43}
+var _StateIndex = [...]uint8{0, 2, 9, 13, 19, 23, 30, 36, 43, 50}
 
-const _StateLowerName = "inleavinggonereborncoldsuspectpausedlimited"
+const _StateLowerName = "inleavinggonereborncoldsuspectpausedlimitedbrittle"
 
 func (i State) String() string {
 	if i < 0 || i >= State(len(_StateIndex)-1) {
@@ -32,9 +32,10 @@
 	_ = x[StateSuspect-(5)]
 	_ = x[StatePaused-(6)]
 	_ = x[StateLimited-(7)]
+	_ = x[StateBrittle-(8)]
 }
 
-var _StateValues = []State{StateInService, StateLeaving, StateGone, StateRestarted, StateCold, StateSuspect, StatePaused, StateLimited}
+var _StateValues = []State{StateInService, StateLeaving, StateGone, StateRestarted, StateCold, StateSuspect, StatePaused, StateLimited, StateBrittle}
 
 var _StateNameToValueMap = map[string]State{
 	_StateName[0:2]:   StateInService,
@@ -45,6 +46,7 @@
 	_StateName[23:30]: StateSuspect,
 	_StateName[30:36]: StatePaused,
 	_StateName[36:43]: StateLimited,
+	_StateName[43:50]: StateBrittle,
 }
 
 var _StateLowerNameToValueMap = map[string]State{
@@ -56,6 +58,7 @@
 	_StateLowerName[23:30]: StateSuspect,
 	_StateLowerName[30:36]: StatePaused,
 	_StateLowerName[36:43]: StateLimited,
+	_StateLowerName[43:50]: StateBrittle,
 }
 
 var _StateNames = []string{
@@ -67,6 +70,7 @@
 	_StateName[23:30],
 	_StateName[30:36],
 	_StateName[36:43],
+	_StateName[43:50],
 }
 
 // StateString retrieves an enum value from the enum constants string name.
--- a/crlfleet/statement.go
+++ b/crlfleet/statement.go
@@ -54,6 +54,7 @@
 		f.pause(p.server, stated.Pause, now)
 	}
 	f.applyLimit(p, stated, now)
+	f.applyBrittleness(p, stated, now)
 }
 
 // maxPause bounds the pause that a server may ask for, so that a damaged answer doesn't put it out of service for good.
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -88,12 +88,13 @@
 		}
 		refusal = x.noServerRefusal(err)
 	}
-	if x.sends > x.runsBefore && !x.reached {
-		// No server can have the request, but a router with other links may reach one.
+	unreached := x.sends > x.runsBefore && !x.reached
+	if unreached || refusal.Reason == ReasonNoPlace {
+		// No server can have the request, but a router with other links, or with places at the servers, may serve it.
 		if peer, ok := s.choosePeer(x); ok {
 			return s.handOver(ctx, x, peer)
 		}
-		if x.handedOver {
+		if x.handedOver && unreached {
 			refusal.Reason = ReasonUnreachable
 		}
 	}
@@ -178,6 +179,8 @@
 		reason, retryAfter = ReasonOverloaded, paused.Left+rand.N(pauseSpread)
 	case errors.Is(err, crlfleet.ErrRateLimit):
 		reason = ReasonOverloaded
+	case errors.Is(err, crlfleet.ErrNoPlace):
+		reason = ReasonNoPlace
 	}
 	refusal := x.finalRefusal(reason)
 	if refusal.RetryAfter > 0 {
