Test that a server that is silent for a second keeps its requests

TestServerThatIsSilentForASecondKeepsItsRequests, with all routers' links to one of four servers silent for 1.2 s again and again, and TestConnectionsHaveNoUserTimeout pass on this code without a change; they guard it. A plain request whose route allows 1 s and that is at the server when it falls silent ends with 504; it can't be answered by that server in its time.

--- a/crlforward/transport_test.go
+++ b/crlforward/transport_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+// TestConnectionsHaveNoUserTimeout guards against TCP_USER_TIMEOUT on connections to servers, whoever sets it: then it decides when unanswered
+// keep-alive probes end a connection, whatever their number.
+func TestConnectionsHaveNoUserTimeout(t *testing.T) {
+	listener := listenForFilters(t)
+	connection, err := NewTransport(TransportConfig{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	control(t, connection.(*net.TCPConn), func(fd int) error {
+		timeout, err := unix.GetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		if timeout != 0 {
+			t.Errorf("TCP_USER_TIMEOUT is %d ms, want none", timeout)
+		}
+		return err
+	})
+}
+
 // TestServerMayReadALongBodyLate guards against the kernel closing a connection on which the server is alive, but reads the body
 // only when a slot is free: its receive window is full until then.
 func TestServerMayReadALongBodyLate(t *testing.T) {
--- a/crlrouter/cut_test.go
+++ b/crlrouter/cut_test.go
@@ -38,6 +38,7 @@
 	dial crlforward.TransportConfig
 	mu   sync.Mutex // guards the fields below
 	mode cutMode
+	only string // address of the one server that the mode applies to, empty for all
 	open map[net.Conn]bool
 	ends chan struct{} // closed and replaced when the mode changes
 }
@@ -66,6 +67,9 @@
 	for isServer(address) {
 		l.mu.Lock()
 		mode, ends := l.mode, l.ends
+		if l.only != "" && address != l.only {
+			mode = cutNone
+		}
 		l.mu.Unlock()
 		if mode == cutNone {
 			break
@@ -85,7 +89,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	linked := &linkedConn{Conn: c, links: l}
+	linked := &linkedConn{Conn: c, links: l, server: address}
 	l.open[linked] = true
 	return linked, nil
 }
@@ -102,7 +106,8 @@
 // linkedConn is a connection to a backend server, whose reads wait while the links hang.
 type linkedConn struct {
 	net.Conn
-	links *serverLinks
+	links  *serverLinks
+	server string
 }
 
 func (c *linkedConn) Read(p []byte) (int, error) {
@@ -110,6 +115,9 @@
 	for {
 		c.links.mu.Lock()
 		mode, ends := c.links.mode, c.links.ends
+		if c.links.only != "" && c.server != c.links.only {
+			mode = cutNone
+		}
 		c.links.mu.Unlock()
 		if mode != cutHangs {
 			return n, err
@@ -340,3 +348,38 @@
 		})
 	}
 }
+
+// TestServerThatIsSilentForASecondKeepsItsRequests guards against answers that are given up, and requests that are refused, because a sound server
+// gives no sign for a second or so and then goes on.
+func TestServerThatIsSilentForASecondKeepsItsRequests(t *testing.T) {
+	const silence = 1200 * time.Millisecond
+	runCutCluster(t, 6, 4, func(c *cutCluster) {
+		for _, l := range c.links {
+			l.only = "i-0"
+		}
+		start := time.Now()
+		for at := 2 * time.Second; at < 20*time.Second; at += 4 * time.Second {
+			for _, l := range c.links {
+				time.AfterFunc(at, func() { l.set(cutHangs) })
+				time.AfterFunc(at+silence, func() { l.set(cutNone) })
+			}
+		}
+		for n := 0; time.Since(start) < 22*time.Second; n++ {
+			c.call(n)
+			time.Sleep(20 * time.Millisecond)
+		}
+		c.open.Wait()
+		for _, e := range c.ends {
+			// The time of a request that was at the server when it fell silent may end before the silence does.
+			if timedOut := e.path != "/draft/" && e.status == http.StatusGatewayTimeout && e.lasted >= time.Second; !timedOut && !e.whole {
+				t.Errorf("request %s to %s, sent %s after the start, got %d after %s, whole: %v", e.request, e.path, e.sentAt.Sub(start), e.status, e.lasted, e.whole)
+			}
+		}
+		for n, r := range c.routers {
+			if count := r.quarantine.registry.Quarantined(); count > 0 {
+				t.Errorf("router %d keeps %d requests or parts from servers", n, count)
+			}
+		}
+		c.checkRuns(t)
+	})
+}
