Pace the writes of what is only suspected to crash servers

Operators would see: many servers crash at once, and the routers take all writes that the store has: each request there that may not be sent again is suspected, and each record is written on the condition that nobody else has written, so that most tries conflict.

Cause: a router writes every change at once and tries again after 0.1 s, whatever the number of routers. Requests as suspects made it matter: a crash has as many as the server had requests, where it had one or two parts before.

Change: what is quarantined is written at once, as before; what is only suspected at 80 a second over all routers, conflicts included, the first writes after a crash spread over 10 ms for each router.

Evidence: TestManyCrashesSpareTheStore (40 servers crash with 240 requests) failed before with 245, 329 and 396 writes in a second at 6, 75 and 150 routers, want at most 100 of the 400 that the store takes, and passes now; TestRequestThatCrashesServersIsKeptFromThem and TestPartThatCrashesServersIsKeptFromThem still pass (3 of 3 runs).

--- a/crlquarantine/registry.go
+++ b/crlquarantine/registry.go
@@ -308,9 +308,10 @@
 type Change struct {
 	Record Record
 	Delete bool // the record is to be deleted
+	Urgent bool // the suspect is quarantined, so that other daemons should learn of it at once
 }
 
-// Due returns the changes that this daemon should write to the store, in no particular order. They stay due until Apply or Remove shows them.
+// Due returns the changes that this daemon should write to the store, the urgent ones first. They stay due until Apply or Remove shows them.
 func (r *Registry) Due() (changes []Change) {
 	now := r.config.Now()
 	r.mu.Lock()
@@ -324,9 +325,19 @@
 			r.clear(e, now, "no request for a long time")
 		}
 		if e.dirty {
-			changes = append(changes, Change{Record: e.record, Delete: e.cleared})
+			changes = append(changes, Change{Record: e.record, Delete: e.cleared, Urgent: e.quarantined})
 		}
 	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		switch {
+		case a.Urgent == b.Urgent:
+			return 0
+		case a.Urgent:
+			return -1
+		default:
+			return 1
+		}
+	})
 	return changes
 }
 
--- a/crlrouter/crashing_request_test.go
+++ b/crlrouter/crashing_request_test.go
@@ -166,6 +166,7 @@
 // repeater sends requests, some of them again and again, to the routers of a test.
 type repeater struct {
 	routers []*Router
+	store   *memoryStore
 	random  *rand.Rand
 	sent    int
 	open    sync.WaitGroup
@@ -224,7 +225,7 @@
 		for n := range servers {
 			store.put("servers", fmt.Sprint("i-", n), "v1")
 		}
-		clients := &repeater{random: rand.New(rand.NewPCG(1, uint64(count)))}
+		clients := &repeater{store: store, random: rand.New(rand.NewPCG(1, uint64(count)))}
 		for n := range count {
 			clients.routers = append(clients.routers, c.start(ctx, n))
 		}
@@ -372,3 +373,36 @@
 		}
 	})
 }
+
+// TestManyCrashesSpareTheStore guards against routers that crowd the store with what they suspect, as when all servers crash at once with requests
+// that may not be sent again: the writes of a second, those that conflict included, stay below a quarter of what the store takes.
+func TestManyCrashesSpareTheStore(t *testing.T) {
+	const mostWrites = 400 / 4 // in a second
+	for _, routers := range []int{6, 75, 150} {
+		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
+			runOnFragileServers(t, routers, 40, func(backend *fragileServers, clients *repeater) {
+				for n := range 40 * 6 {
+					clients.call("/filing/1", fmt.Sprint("sound-", n))
+				}
+				time.Sleep(plainWork / 2)
+				for range 40 {
+					backend.crashAny()
+				}
+				writes := func() int {
+					clients.store.mu.Lock()
+					defer clients.store.mu.Unlock()
+					return clients.store.appends
+				}
+				most, before := 0, writes()
+				for range 10 {
+					time.Sleep(time.Second)
+					now := writes()
+					most, before = max(most, now-before), now
+				}
+				if most > mostWrites {
+					t.Errorf("%d writes in a second, want at most %d", most, mostWrites)
+				}
+			})
+		})
+	}
+}
--- a/crlrouter/quarantine.go
+++ b/crlrouter/quarantine.go
@@ -27,6 +27,14 @@
 	quarantineCheckInterval = 10 * time.Second       // time between checks for records that are old
 	conflictPause           = 100 * time.Millisecond // mean pause after a conflict with the write of another router
 	failedWritePause        = 2 * time.Second        // mean pause after a write that the store did not take
+
+	// suspicionWrites is the number of writes per second of all daemons together that are not urgent, conflicts included. Servers that crash all
+	// at once make all daemons write.
+	suspicionWrites = 80.0
+	suspicionBurst  = 0.2 // part of a daemon's share of suspicionWrites that it may write at once, at least one write
+	// suspicionSpread is the time per daemon over which the first writes after a crash are spread, maxSuspicionSpread at most.
+	suspicionSpread    = 10 * time.Millisecond
+	maxSuspicionSpread = 1500 * time.Millisecond
 )
 
 // quarantineLedger keeps a Registry and its topic in the store in step.
@@ -36,6 +44,9 @@
 	topic    string
 	logger   *crllog.Logger
 	replica  *crlrelay.Replica // replica of the topic; a write fails unless the topic ends where the replica does
+	daemons  func() int
+	now      crlclock.Clock
+	bucket   crlbudget.Bucket // of writes that are not urgent
 }
 
 // ownsPart returns a function that reports whether this daemon holds the slot of a part.
@@ -81,26 +92,63 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		for pause := l.writeDue(ctx); pause > 0 && ctx.Err() == nil; pause = l.writeDue(ctx) {
-			// Routers that see the same crash write at the same time; a random pause separates them.
-			crlclock.Sleep(ctx, pause/2+rand.N(pause))
+		// The first writes after a crash wait, but for urgent ones, as others may write at the same time.
+		suspicionsFrom := l.now().Add(rand.N(min(time.Duration(l.daemons())*suspicionSpread, maxSuspicionSpread)))
+		for ctx.Err() == nil {
+			pause, paced := l.writeDue(ctx, suspicionsFrom)
+			if pause == 0 {
+				break
+			}
+			if !paced {
+				// Routers that see the same crash write at the same time; a random pause separates them.
+				crlclock.Sleep(ctx, pause/2+rand.N(pause))
+				continue
+			}
+			l.waitForChange(ctx, pause)
 		}
 	}
 	return ctx.Err()
 }
 
-// writeDue writes the changes that are due. It returns the mean pause until the next try, 0 if none is left.
-func (l *quarantineLedger) writeDue(ctx context.Context) time.Duration {
+// waitForChange waits for a pause, or until a change is due.
+func (l *quarantineLedger) waitForChange(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.registry.Changed():
+	case <-ctx.Done():
+	}
+}
+
+// writeDue writes the changes that are due, those that are not urgent from a given moment on. It returns the time until the next try, 0 if none is
+// left; paced reports whether only changes that are not urgent wait, otherwise the time is a mean.
+func (l *quarantineLedger) writeDue(ctx context.Context, suspicionsFrom crlclock.Instant) (pause time.Duration, paced bool) {
 	changes := l.registry.Due()
 	if len(changes) > 0 && !l.replica.Loaded() {
-		return failedWritePause
+		return failedWritePause, false
 	}
 	for _, change := range changes {
+		if !change.Urgent {
+			now := l.now()
+			if now < suspicionsFrom {
+				return suspicionsFrom.Sub(now), true
+			}
+			if limit := l.suspicionLimit(); !l.bucket.Take(limit, now) {
+				return time.Duration(float64(time.Second) / limit.PerSecond), true
+			}
+		}
 		if pause := l.write(ctx, change); pause > 0 {
-			return pause
+			return pause, false
 		}
 	}
-	return 0
+	return 0, false
+}
+
+// suspicionLimit returns this daemon's share of the writes that are not urgent.
+func (l *quarantineLedger) suspicionLimit() crlbudget.Limit {
+	share := suspicionWrites / float64(l.daemons())
+	return crlbudget.Limit{PerSecond: share, Burst: max(1, suspicionBurst*share)}
 }
 
 // write appends a change on the condition that the topic still ends where the replica does, so that what another daemon has written meanwhile
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -159,7 +159,7 @@
 		registry: crlquarantine.New(crlquarantine.Config{
 			Owns: ownsPart(r.members.slots, r.config.Clock), Now: r.config.Clock, OnTransition: logQuarantine(r.config.Logger),
 		}),
-		store: r.config.Store, topic: r.config.Topics.Quarantine, logger: r.config.Logger,
+		store: r.config.Store, topic: r.config.Topics.Quarantine, logger: r.config.Logger, daemons: r.follower.Count, now: r.config.Clock,
 	}
 	l.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: l.apply, Now: r.config.Clock, Optional: true})
 	r.replicas[topicQuarantine] = l.replica
