Take a request for run that another router has aborted

Callers would see: a filing runs twice, or one that ran is said not to have: it was handed over to a router that stops and aborts it while a server works on it.

Cause: the handover went by the reason of the other router's refusal alone. "draining" and "cut-off" mostly mean that nothing was sent, but with status 502 the router says that a server may have run the request. Found by reading the change anew.

Change: 502 and 504 count as a run whatever the reason, and a request that may have run as often as its route allows isn't handed over. A plain answer over another router also clears the request of the suspicion that it crashes servers.

--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -101,6 +101,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		runs, err := strconv.Atoi(r.Header.Get(headerRuns))
 		if err != nil || runs < 0 {
+			w.Header().Set(headerRefusal, ReasonMalformed)
 			http.Error(w, "header "+headerRuns+" must be a whole number of at least 0", http.StatusBadRequest)
 			return
 		}
@@ -109,10 +110,10 @@
 }
 
 // choosePeer returns the router to which the request is to be handed over next, false if it isn't to be: a request that was handed over, one
-// that must not run twice and may have run, and one for which other routers are of no use.
+// that must not run twice and may have run, one that may have run as often as its route allows, and one for which other routers are of no use.
 func (s *Service) choosePeer(x *exchange) (Peer, bool) {
 	if s.config.Peers == nil || x.handedOver || len(x.peers) >= maxHandovers || x.runs > 0 && !x.route.Repeatable() ||
-		s.handovers.isPaused(x.service.Name) {
+		x.runs >= x.route.Attempts || s.handovers.isPaused(x.service.Name) {
 		return Peer{}, false
 	}
 	return s.handovers.choose(s.config.Peers(), x.peers, s.config.Domain)
@@ -159,26 +160,34 @@
 
 // handleRefusal returns what to do after another router has refused the request.
 func (s *Service) handleRefusal(x *exchange, peer Peer, response *http.Response, reason string) (verdict, *Refusal) {
+	mayHaveRun := response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusGatewayTimeout
+	if mayHaveRun {
+		x.runs++
+	}
 	switch reason {
 	case ReasonUnreachable:
 		s.handovers.pauseService(x.service.Name)
-		return verdictAgain, nil
-	case ReasonOverloaded, ReasonNoBudget, ReasonCrashes, ReasonNoServer, ReasonRouteTimeout, ReasonDeadline:
-	case ReasonAttempts, ReasonOutcomeUnknown:
+		return s.verdictAfter(x, mayHaveRun), nil
+	case ReasonOverloaded, ReasonNoBudget, ReasonCrashes, ReasonNoServer, ReasonRouteTimeout, ReasonDeadline, ReasonAttempts, ReasonOutcomeUnknown:
+		refusal := x.finalRefusal(reason)
+		refusal.Status = response.StatusCode
+		if pause := s.config.Dialect.DecodeAnswer(response.StatusCode, response.Header).Statement.Pause; refusal.RetryAfter > 0 && pause > 0 {
+			refusal.RetryAfter = pause
+		}
+		return verdictFinal, refusal
 	default:
-		// The router is cut off too, drains, or knows an older configuration than this one. Nothing was sent.
+		// The router is cut off too, drains, or knows an older configuration than this one.
 		s.handovers.pausePeer(peer.Address)
-		return verdictAgain, nil
-	}
-	if response.StatusCode != http.StatusServiceUnavailable {
-		x.runs++
-		return verdictFinal, newRefusal(response.StatusCode, reason)
+		return s.verdictAfter(x, mayHaveRun), nil
 	}
-	refusal := x.finalRefusal(reason)
-	if pause := s.config.Dialect.DecodeAnswer(response.StatusCode, response.Header).Statement.Pause; refusal.RetryAfter > 0 && pause > 0 {
-		refusal.RetryAfter = pause
+}
+
+// verdictAfter returns the verdict on a request that a router could not take.
+func (s *Service) verdictAfter(x *exchange, mayHaveRun bool) verdict {
+	if mayHaveRun {
+		return s.retryVerdict(x)
 	}
-	return verdictFinal, refusal
+	return verdictAgain
 }
 
 // relayHandover relays a backend server's answer that came over another router, which has judged it.
@@ -200,6 +209,9 @@
 		x.trace.cause = err.Error()
 		return s.retryVerdict(x)
 	}
+	if response.StatusCode < http.StatusInternalServerError && x.route.Kind != crlroute.KindStream {
+		s.recordStart(x, nil)
+	}
 	answer := &reply{status: response.StatusCode, header: response.Header, body: body}
 	x.trace.status = answer.status
 	if len(body) > maxHeldReplyBytes {
--- a/crlforward/handover_test.go
+++ b/crlforward/handover_test.go
@@ -66,6 +66,13 @@
 		{"overload", "/read/1", []step{unreachable, unreachable, full}, http.StatusServiceUnavailable, "ssr", false},
 		{"filing that may have run at the other router", "/file/1", []step{unreachable, unreachable, losesAnswer}, http.StatusBadGateway, "ssr", false},
 		{"filing that the other router can't tell about", "/file/1", []step{unreachable, unreachable, refuses(502, ReasonOutcomeUnknown)}, http.StatusBadGateway, "ssr", false},
+		{"filing that the other router aborts as it stops", "/file/1", []step{unreachable, unreachable, refuses(502, ReasonDraining)}, http.StatusBadGateway, "ssr", false},
+		{"filing that the other router ran before it was cut off", "/file/1", []step{unreachable, unreachable, refuses(502, ReasonCutOff)}, http.StatusBadGateway, "ssr", false},
+		{"filing that the other router ran until its time was over", "/file/1", []step{unreachable, unreachable, refuses(504, ReasonRouteTimeout)}, http.StatusGatewayTimeout, "ssr", false},
+		{"lookup that two routers ran before they were cut off", "/read/1", []step{
+			unreachable, unreachable, refuses(502, ReasonCutOff), refuses(502, ReasonCutOff),
+		}, http.StatusBadGateway, "ssrr", false},
+		{"stream that the other router aborts as it stops", "/draft/1", []step{unreachable, unreachable, refuses(502, ReasonDraining), answers(events(1, 3))}, http.StatusOK, "ssrr", true},
 		{"filing whose answer breaks off", "/file/1", []step{unreachable, unreachable, breaksAfter("do")}, http.StatusBadGateway, "ssr", false},
 		{"lookup whose answer is lost on the way", "/read/1", []step{unreachable, unreachable, losesAnswer}, http.StatusBadGateway, "ssr", false},
 		{"filing that a server may have run", "/file/1", []step{losesAnswer}, http.StatusBadGateway, "s", false},
@@ -145,8 +152,8 @@
 		{"one attempt left, which fails", "/read/1", "1", false, []step{unreachable}, http.StatusBadGateway, ReasonUnreachable, 1},
 		{"no attempt left", "/read/1", "2", false, nil, http.StatusBadGateway, ReasonAttempts, 0},
 		{"may have run", "/file/1", "0", false, []step{losesAnswer}, http.StatusBadGateway, ReasonOutcomeUnknown, 1},
-		{"no number of runs", "/file/1", "", false, nil, http.StatusBadRequest, "", 0},
-		{"negative number of runs", "/file/1", "-1", false, nil, http.StatusBadRequest, "", 0},
+		{"no number of runs", "/file/1", "", false, nil, http.StatusBadRequest, ReasonMalformed, 0},
+		{"negative number of runs", "/file/1", "-1", false, nil, http.StatusBadRequest, ReasonMalformed, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
