Test that routers that stop run nothing twice that was handed over to them

Two of nine routers are cut off from all servers, and four others abort their open requests one after the other.

--- a/crlrouter/cut_test.go
+++ b/crlrouter/cut_test.go
@@ -383,3 +383,28 @@
 		c.checkRuns(t)
 	})
 }
+
+// TestHandoversBesideStopsRunNothingTwice guards against requests that run twice, or are said not to have run, because routers stop while they
+// serve requests that others have handed over to them.
+func TestHandoversBesideStopsRunNothingTwice(t *testing.T) {
+	runCutCluster(t, 9, 9, func(c *cutCluster) {
+		start := time.Now()
+		for _, n := range []int{0, 3} {
+			time.AfterFunc(time.Second, func() { c.links[n].set(cutRefused) })
+		}
+		for i, n := range []int{1, 4, 7, 2} {
+			at := time.Duration(3+2*i) * time.Second
+			time.AfterFunc(at, c.routers[n].service.Close)
+			time.AfterFunc(at+plainWork/2, c.routers[n].service.Abort)
+		}
+		for n := 0; time.Since(start) < 14*time.Second; n++ {
+			c.call(n)
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.open.Wait()
+		c.checkRuns(t)
+		if served, all := c.served([]int{0, 3}, start.Add(time.Second+contact), time.Now()); float64(served) < 0.9*float64(all) {
+			t.Errorf("%d of %d requests served at the routers that are cut off, want 9 of 10", served, all)
+		}
+	})
+}
