Suspect no request because its router is cut off from the servers

Callers would see: a request that several callers send at once is kept from servers, at all routers, after a router has lost its links: its sends are reset and new connections refused, which looks like the end of each server that ran it.

Cause: a send that lost its answer takes a refused connection for the end of the server. That one VM is cut off shows only from several of them, and the failed connections of this check didn't count for it; and a connection counted as opened when its send ended, not when it was opened, which hid those that failed meanwhile.

Change: the check counts, no crash is recorded while the VM counts as cut off, and a connection counts when it is opened.

--- a/crlforward/handover_test.go
+++ b/crlforward/handover_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -239,3 +240,29 @@
 		t.Errorf("%d paused routers are remembered, want 10 or fewer", len(h.peers))
 	}
 }
+
+// TestCutOffRouterSuspectsNoRequest guards against requests that are kept from servers because a router that is cut off from all of them takes their
+// ends for crashes: open connections are reset, and new ones refused.
+func TestCutOffRouterSuspectsNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var steps []step
+		for range 4 { // The same filing is at four servers when the cut begins.
+			steps = append(steps, func(r *http.Request) (*http.Response, error) {
+				connect(r)
+				time.Sleep(100 * time.Millisecond)
+				return nil, errReset
+			})
+		}
+		c := newPeeredCluster(append(steps, answers("done"))...)
+		var open sync.WaitGroup
+		for n := range 4 {
+			open.Go(func() { c.call(t.Context(), "/file/1", map[string]string{"X-Request": fmt.Sprint("r", n)}) })
+		}
+		open.Wait()
+		got, _ := c.call(t.Context(), "/file/1", map[string]string{"X-Request": "r5"})
+		if got.Code != http.StatusOK || c.service.config.Quarantine.Quarantined() > 0 {
+			t.Errorf("got %d with %d suspects quarantined, want 200 and none", got.Code, c.service.config.Quarantine.Quarantined())
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/crlforward/quarantine.go
+++ b/crlforward/quarantine.go
@@ -71,12 +71,16 @@
 }
 
 // recordLostAnswer records that a send's connection ended without an answer, if its server has ended too: a server that only lost the answer goes on
-// accepting connections. The prompt may not have been read yet, so its parts are not suspected.
+// accepting connections. If this VM is cut off, all servers seem to have ended. The prompt may not have been read yet, so its parts are not
+// suspected.
 func (s *Service) recordLostAnswer(ctx context.Context, x *exchange, pick *crlfleet.Pick) {
 	if x.stream.started || ctx.Err() != nil || !s.probes.hasEnded(ctx, pick.Address) {
 		return
 	}
-	s.addCrash(x, pick)
+	s.reachability.recordFailed(pick.Address)
+	if !s.reachability.cutOff.Load() {
+		s.addCrash(x, pick)
+	}
 }
 
 // addCrash adds a crash to those of the request. If the request is suspected already, the crash is recorded before the next send.
@@ -90,7 +94,7 @@
 // recordCrashes records which servers crashed on the request. Unless it is suspected already, that waits for its end, as a request that only was at
 // a server that another one crashed gets its answer from the next.
 func (s *Service) recordCrashes(x *exchange) {
-	if x.started {
+	if x.answerBegan {
 		return
 	}
 	for _, crash := range x.crashes {
@@ -100,7 +104,7 @@
 
 // recordStart records that an answer to the request has begun, which clears the request and the given parts of its prompt.
 func (s *Service) recordStart(x *exchange, parts []crlquarantine.Suspect) {
-	x.started = true
+	x.answerBegan = true
 	if !s.config.Quarantine.Idle() {
 		parts = x.withWholeRequest(parts)
 	}
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -121,19 +121,16 @@
 func (s *Service) attempt(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, pick *crlfleet.Pick, plan *modelPlan) (
 	response *http.Response, connected bool, err error,
 ) {
-	response, connected, err = s.roundTrip(ctx, cancel, x, pick.Address, func(ctx context.Context) *http.Request {
+	return s.roundTrip(ctx, cancel, x, pick.Address, s.reachability.recordConnected, func(ctx context.Context) *http.Request {
 		return s.newAttempt(ctx, x, pick, plan)
 	})
-	if connected {
-		s.reachability.recordConnected()
-	}
-	return response, connected, err
 }
 
 // roundTrip sends the request to the server or router at an address and returns the head of the answer. connected reports whether a connection was
-// opened, so that the receiver may have the request. A watchdog ends the send of a repeatable request when its receiver becomes unreachable.
+// opened, so that the receiver may have the request; onConnect is called when it is. A watchdog ends the send of a repeatable request when its receiver becomes unreachable.
 func (s *Service) roundTrip(
-	ctx context.Context, cancel context.CancelCauseFunc, x *exchange, address string, newRequest func(context.Context) *http.Request,
+	ctx context.Context, cancel context.CancelCauseFunc, x *exchange, address string, onConnect func(),
+	newRequest func(context.Context) *http.Request,
 ) (response *http.Response, connected bool, err error) {
 	var wd *watchdog
 	if x.route.Repeatable() {
@@ -144,6 +141,7 @@
 	clientTrace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			hasConnection.Store(true)
+			onConnect()
 			if wd != nil {
 				wd.setConnection(info.Conn)
 			}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -138,7 +138,7 @@
 	reached       bool                    // whether a server may have received the request
 	retryPaid     bool                    // whether the retry budget was charged for the next send
 	crashes       []crlquarantine.Crash   // servers that crashed on the request, as far as this daemon can tell
-	started       bool                    // whether an answer to the request has begun
+	answerBegan   bool                    // whether a server has begun an answer to the request, here or over another router
 	parts         []crlquarantine.Suspect // see sharedParts
 	whole         crlquarantine.Suspect   // see wholeRequest
 	runs          int                     // sends after which a server may have started to execute the request
