Keep a connection open until the answer to a pipelined request is written

Callers would see: while a router stops, a connection closes without the answer to a request that a handler has just finished, if the request was sent together with the one before.

Cause: a connection counts as serving until the handler returns, which is before net/http writes the answer. For a pipelined request nothing else shows that an answer is due: its bytes were read before the answer to the one before it. Drain, which looks every 20 ms, can close the connection in between.

Change: it counts as serving until net/http reports it idle, which is after the answer.

--- a/crlconn/conn.go
+++ b/crlconn/conn.go
@@ -21,7 +21,7 @@
 	reading    sync.Mutex // held during each Read; locked before mu
 	mu         sync.Mutex // guards the fields below
 	waiting    bool       // whether a Read is in progress
-	serving    bool       // whether a handler runs
+	serving    bool       // whether a handler runs or its answer is being written
 	begunAt    time.Time  // when the first byte of the open request was read; zero without an open request
 	read       int64      // bytes read since the last answer
 	written    int64      // bytes written since the last answer
@@ -59,10 +59,10 @@
 	c.waiting = waiting
 }
 
-func (c *conn) setServing(serving bool) {
+func (c *conn) beginServing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = serving
+	c.serving = true
 }
 
 // recordRead records the result of a read.
@@ -215,6 +215,7 @@
 func (c *conn) recordAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = false
 	c.begunAt, c.read, c.written = time.Time{}, 0, 0
 	c.answers++
 }
--- a/crlconn/tracker.go
+++ b/crlconn/tracker.go
@@ -69,12 +69,12 @@
 	return t
 }
 
-// trackHandler returns a handler that tells its request's connection while it runs.
+// trackHandler returns a handler that tells its request's connection when it begins. The connection learns from the server when the answer was
+// written, which is after the handler has returned.
 func trackHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(contextKey{}).(*conn); ok {
-			c.setServing(true)
-			defer c.setServing(false)
+			c.beginServing()
 		}
 		next.ServeHTTP(w, r)
 	})
