--- a/crlforward/handover_test.go
+++ b/crlforward/handover_test.go
@@ -192,6 +192,7 @@
 		want := []bool{false, false, false, true, true, true, false} // whether each send is one to a router
 		for n := range 5 {
 			if n == 3 {
+				synctest.Wait()  // for earlier checks
 				c.probeErr = nil // The check that this request starts opens a connection, for the next one.
 			}
 			if got, _ := c.call(t.Context(), "/file/1", map[string]string{"X-Request": fmt.Sprint("r", n)}); got.Code != http.StatusOK {
