--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -128,7 +128,9 @@
 	reached, start := x.reached, time.Now()
 	response, connected, err := s.roundTrip(ctx, cancel, x, peer.Address, func() {}, func(ctx context.Context) *http.Request {
 		header := x.forwardedHeader()
-		s.config.Dialect.EncodeHandover(header, Handover{Deadline: time.Until(x.deadline), LastEvent: x.stream.lastEvent, Resumes: x.head.Resumes || x.stream.lastEvent > 0})
+		s.config.Dialect.EncodeHandover(header, Handover{
+			Deadline: time.Until(x.deadline), LastEvent: x.stream.lastEvent, Resumes: x.head.Resumes || x.stream.lastEvent > 0,
+		})
 		header.Set(headerRuns, strconv.Itoa(x.runs))
 		return x.newRequest(ctx, peer.Address, header)
 	})
--- a/crlforward/reachability.go
+++ b/crlforward/reachability.go
@@ -30,7 +30,7 @@
 	addresses func() []string // of all servers
 	probe     Probe
 	log       *crllog.Logger
-	suspected atomic.Bool     // whether unreachable has an element, so that most connections need no lock
+	suspected atomic.Bool     // whether failed has an element, so that most connections need no lock
 	cutOff    atomic.Bool     // whether the VM counts as cut off
 	mu        sync.Mutex      // guards the fields below
 	failed    map[string]bool // addresses of servers to which connections have failed since one was opened
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -127,7 +127,8 @@
 }
 
 // roundTrip sends the request to the server or router at an address and returns the head of the answer. connected reports whether a connection was
-// opened, so that the receiver may have the request; onConnect is called when it is. A watchdog ends the send of a repeatable request when its receiver becomes unreachable.
+// opened, so that the receiver may have the request; onConnect is called when it is. A watchdog ends the send of a repeatable request when its
+// receiver becomes unreachable.
 func (s *Service) roundTrip(
 	ctx context.Context, cancel context.CancelCauseFunc, x *exchange, address string, onConnect func(),
 	newRequest func(context.Context) *http.Request,
--- a/crlquarantine/doc.go
+++ b/crlquarantine/doc.go
@@ -3,11 +3,15 @@
 //
 // When a server crashes as it begins an answer, each part of the prompt that other requests may share is suspected. A part that two requests
 // have crashed two servers with is quarantined: no request with it is sent any more. An answer that does begin on a part clears
-// it. A request that a server ended on and that got no answer is suspected in the same way, together with its repeats. Parts that come with a quarantined one are suspected as well; a request with such a part is sent if the crashes of that part are all explained by a
-// quarantined part that the request lacks.
+// it. Parts that come with a quarantined one are suspected as well; a request with such a part is sent if the crashes of that part are all explained
+// by a quarantined part that the request lacks.
+//
+// A request is suspected in the same way, together with all that have the same content, if a server ended while it ran it and it got no answer
+// elsewhere either.
 //
 // What is known of suspects lies in a topic of the platform's store, as one record for each, so that all daemons know it. [Registry]
-// holds the records, decides on requests, and returns the changes that are to be written. In an outage of the store each daemon goes by what it has observed itself.
+// holds the records, decides on requests, and returns the changes that are to be written. In an outage of the store each daemon goes by what it has
+// observed itself.
 //
 // From time to time one daemon sends one request with a quarantined part, so that a part that was wrongly suspected is released. The
 // times in between grow, as such a request may cost a server. A quarantined request is sent a few times only.
--- a/crlrouter/doc.go
+++ b/crlrouter/doc.go
@@ -15,6 +15,11 @@
 // every router, the replica. While the store is unavailable a router goes
 // on with the last known state. How long ago the configuration was last
 // confirmed current decides whether it still accepts requests with an API key.
+//
+// A router that opens no connection to the backend servers hands its requests
+// over to other routers of the roster, which take them on a listener of their
+// own.
+//
 // Router.Run starts all goroutines and drains open requests when its context
 // ends or one of its loops or listeners fails.
 package crlrouter
