Decode the figures that a configuration states of its model engines

Cause: the router reads only an engine's slots. Its memory, the tokens of an event, the connections it accepts, the costs of its models and a route's longest pause between events are stated in the configuration and dropped, so that no decision can use them. Tests of platform, crlroute and crlrouter pass. Measured: nothing, no behaviour changes.

--- a/crlroute/table.go
+++ b/crlroute/table.go
@@ -36,6 +36,7 @@
 	Kind      Kind
 	Timeout   time.Duration // longest time from a request's arrival to the end of its answer, 0 for no limit
 	Objective time.Duration // latency objective: an answer has its full value only within it; 0 for none
+	MaxPause  time.Duration // longest pause between two events of a stream that has its full value, 0 if not stated
 	Priority  int           // rank of the route's requests at their server, 0 for the most urgent
 	Attempts  int           // largest number of sends of one request
 	Public    bool          // requests need no API key, whatever TableConfig.RequireKeys says
@@ -71,9 +72,19 @@
 
 // Service describes the backend servers of one service.
 type Service struct {
-	Name     crlid.Service
-	ColdRate float64 // requests per second that a cold (just started) server can handle, 0 for no limit
-	Slots    int     // batch size of a model engine, 0 for services without one
+	Name           crlid.Service
+	ColdRate       float64      // requests per second that a cold (just started) server can handle, 0 for no limit
+	Slots          int          // batch size of a model engine, 0 for services without one
+	MemoryTokens   crlid.Tokens // tokens of running requests and cached prompts that a model engine has memory for, 0 if not stated
+	EventTokens    crlid.Tokens // tokens in one event of a model engine's stream, 0 if not stated
+	MaxConnections int          // connections that a server accepts from all daemons together, 0 if not stated
+	Models         []ModelCost  // models of an engine with their stated costs, in the order of the configuration
+}
+
+// ModelCost is the stated cost of a model.
+type ModelCost struct {
+	Model crlid.Model
+	Cost  float64 // relative cost of a generated token
 }
 
 // Organisation is a customer, whose API keys give access to routes that are not Public.
