Keep long prompts from delaying short answers

Cause: an engine reads a prompt in chunks between the tokens of its running requests, so a short request that shares an engine with a long prompt begins late and goes on slowly. A fixed part of the engines helped the short ones and made the long ones slower. Change: crlpartition assigns requests to engines by their size, with soft boundaries that follow the work (size-interval task assignment). All daemons order the servers by a hash; the penalty outside the interval is the delay to be expected there. crlfleet adds it to the score, and waits are averaged by segment of that order, also for ExpectedWait, which now takes the size of the request.

--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlpartition"
 )
 
 // Entry is what a backend server announces about itself.
@@ -90,8 +91,10 @@
 	limit           *statedLimit // nil without one
 	brittle         *brittleness // nil for a server that isn't
 	pausedUntil     crlclock.Instant
-	statedLeaving   bool // an answer stated that the server leaves
-	removed         bool // the server no longer has an entry
+	statedLeaving   bool               // an answer stated that the server leaves
+	removed         bool               // the server no longer has an entry
+	place           crlpartition.Place // as of serviceLoad.placedAt
+	order           uint64             // see placeOrder
 }
 
 // Fleet holds the known servers of all services. It is safe for concurrent use.
@@ -107,10 +110,11 @@
 
 // serviceLoad holds what this daemon's requests showed about the load of a service.
 type serviceLoad struct {
-	latencyFactor  average // time to the first byte as a multiple of the expected one
-	excessWait     average // time to the first byte beyond the expected one, in seconds
-	unansweredWork float64 // work of sends whose answers have not begun, in seconds of an unloaded server
-	unanswered     int     // number of sends whose answers have not begun
+	latencyFactor average // time to the first byte as a multiple of the expected one
+	bySize        [crlpartition.BucketCount]sizeBacklog
+	segments      [segmentCount]segmentWait
+	partition     crlpartition.Partition
+	placedAt      crlclock.Instant // when the places of the servers were last computed
 }
 
 // serviceLoad returns the load of a service, and adds an empty one first if there is none.
@@ -144,7 +148,7 @@
 	defer f.mu.Unlock()
 	s, ok := f.servers[e.Server]
 	if !ok {
-		s = &server{entry: e, statedLeaving: f.hasStatedLeaving(e)}
+		s = &server{entry: e, order: placeOrder(e.Server), statedLeaving: f.hasStatedLeaving(e)}
 		if f.isNewVersion(e, now) {
 			s.newVersionUntil = now.Add(newVersionDelay)
 		}
--- a/crlfleet/fleet_test.go
+++ b/crlfleet/fleet_test.go
@@ -234,7 +234,7 @@
 		for len(picks) < c.sends {
 			picks = append(picks, mustPick(t, f, testNeed()))
 		}
-		if got := f.ExpectedWait("drafts").Round(time.Millisecond); got != c.want {
+		if got := f.ExpectedWait("drafts", testNeed().Work).Round(time.Millisecond); got != c.want {
 			t.Errorf("expected wait is %s with %d sends without an answer, want %s", got, c.sends, c.want)
 		}
 	}
@@ -244,7 +244,7 @@
 		}
 		p.Done(Result{Outcome: OutcomeAnswered, FirstByte: p.ExpectedFirstByte})
 	}
-	if got := f.ExpectedWait("drafts").Round(time.Millisecond); got != 0 {
+	if got := f.ExpectedWait("drafts", testNeed().Work).Round(time.Millisecond); got != 0 {
 		t.Errorf("expected wait is %s with no open send, want 0", got)
 	}
 }
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -52,6 +52,7 @@
 	fleet             *Fleet
 	server            *server
 	load              *serviceLoad
+	segment           *segmentWait
 	pickedAt          crlclock.Instant
 	answered          bool    // whether markAnswered was called
 	work              float64 // Need.Work until the answer begins, then 0
@@ -72,18 +73,21 @@
 	now := f.config.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// Recorded first, so that the request's own size is known when its interval is computed.
+	f.serviceLoad(need.Service).partition.Record(need.Work, need.Work+need.WorkAfter, now)
 	for _, preferred := range []bool{true, false} {
 		for _, available := range []bool{true, false} {
 			if s := f.best(need, preferred, available, now); s != nil {
 				s.openRequests++
 				s.pendingWork += need.Work + need.WorkAfter
 				l := f.serviceLoad(need.Service)
-				l.unansweredWork += need.Work
-				l.unanswered++
+				l.backlog(need.Work).begin(need.Work)
+				segment := &l.segments[segment(s.place)]
+				segment.begin(now)
 				return &Pick{
 					Server: s.entry.Server, Address: s.entry.Address, Version: s.entry.Version,
 					ExpectedFirstByte: need.ExpectedFirstByte, fleet: f, server: s, load: l, work: need.Work, workAfter: need.WorkAfter,
-					pickedAt: now,
+					pickedAt: now, segment: segment,
 				}, nil
 			}
 		}
@@ -137,11 +141,13 @@
 	if available {
 		candidates = fewest(candidates, need.FewServers)
 	}
-	holder := need.Affinity.holder(candidates)
+	f.updatePlaces(need.Service, now)
+	interval := f.serviceLoad(need.Service).partition.Interval(need.Work, f.partitionFleet(need.Service), now)
+	holder := need.Affinity.holder(preferredBy(&interval, candidates))
 	for len(candidates) > 0 {
 		best, lowest := 0, math.Inf(1)
 		for i, s := range candidates {
-			score := f.score(s, need, now)
+			score := f.score(s, need, now) + interval.Penalty(s.place)
 			if s == holder {
 				score -= need.Affinity.Saving
 			}
@@ -193,7 +199,8 @@
 func (f *Fleet) score(s *server, need Need, now crlclock.Instant) float64 {
 	usual := f.serviceLoad(need.Service).latencyFactor.mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
-	score := (s.pendingWork+need.Work)*slowness + s.health.decayedWait(now)
+	wait := max(s.health.decayedWait(now), f.serviceLoad(need.Service).segments[segment(s.place)].expected(now))
+	score := (s.pendingWork+need.Work)*slowness + wait
 	if s.coldUntil > now {
 		score += need.Work
 	}
@@ -259,6 +266,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.server.pendingWork -= p.work
+	if !p.answered {
+		p.segment.record(max(firstByte-p.ExpectedFirstByte, 0), now)
+	}
 	p.markAnswered()
 	p.work = 0
 	p.server.health.recordWait(max(firstByte-p.ExpectedFirstByte, 0), now)
@@ -270,8 +280,8 @@
 		return
 	}
 	p.answered = true
-	p.load.unansweredWork -= p.work
-	p.load.unanswered--
+	p.load.backlog(p.work).end(p.work)
+	p.segment.end(p.pickedAt)
 }
 
 // Done ends the send: its work no longer counts at the server, and its result is recorded.
@@ -314,7 +324,6 @@
 		factor := min(float64(r.FirstByte)/float64(p.ExpectedFirstByte), maxLatencyFactor)
 		h.latency.add(factor)
 		p.load.latencyFactor.add(factor)
-		p.load.excessWait.add(max(r.FirstByte-p.ExpectedFirstByte, 0).Seconds())
 	}
 }
 
@@ -336,29 +345,3 @@
 	s.health.backOff(now)
 	f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateSuspect, Cause: cause})
 }
-
-// unansweredWorkLowerBound returns the work of sends without an answer, less the part for twice the standard deviation of
-// their number: a few sends of one daemon say nothing about the other daemons.
-func (l *serviceLoad) unansweredWorkLowerBound() float64 {
-	if l.unanswered == 0 {
-		return 0
-	}
-	return l.unansweredWork * max(0, 1-2/math.Sqrt(float64(l.unanswered)))
-}
-
-// ExpectedWait estimates how much later than on unloaded servers a service's answers begin now. It is the average of the waits
-// that this daemon observed lately, or the time that the servers need for all sends without an answer, whichever is longer.
-// Every daemon is assumed to have as many such sends as this one.
-func (f *Fleet) ExpectedWait(service crlid.Service) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	servers := 0
-	for _, s := range f.services[service] {
-		if f.inService(s) {
-			servers++
-		}
-	}
-	l := f.serviceLoad(service)
-	backlog := l.unansweredWorkLowerBound() * float64(f.config.Daemons()) / float64(max(servers, 1))
-	return time.Duration(max(l.excessWait.mean(0), backlog) * float64(time.Second))
-}
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -340,7 +340,8 @@
 		return false
 	}
 	factor := s.timeFactors.factor(plan.largest(), plan.models)
-	expected := x.estimate(factor).firstByte + s.config.Fleet.ExpectedWait(x.service.Name)
+	cost := x.estimate(factor)
+	expected := cost.firstByte + s.config.Fleet.ExpectedWait(x.service.Name, cost.workSeconds)
 	if x.route.Objective > 0 && time.Since(x.arrived)+expected > time.Duration(objectiveFraction*float64(x.route.Objective)) {
 		return false
 	}
--- /dev/null
+++ b/crlpartition/interval.go
@@ -0,0 +1,59 @@
+package crlpartition
+
+// Interval holds the positions that requests of one size prefer.
+type Interval struct {
+	size       float64              // in seconds
+	neighbours float64              // see Fleet
+	from, to   float64              // preferred positions, from 0 to 1
+	boundaries [BucketCount]float64 // upper end of each bucket's positions
+	sizes      [BucketCount]float64 // mean size in each bucket in seconds, 0 without requests
+}
+
+// Place is the place of a server among those that can take each other's requests: the servers of one service, version and failure
+// domain.
+type Place struct {
+	Rank    int // number of servers before it in the order on which all daemons agree
+	Servers int // number of servers, 0 if unknown
+}
+
+// from returns the position at which the server's part begins. All servers have equal parts.
+func (p Place) from() float64 { return float64(p.Rank) / float64(p.Servers) }
+
+// to returns the position at which the server's part ends.
+func (p Place) to() float64 { return float64(p.Rank+1) / float64(p.Servers) }
+
+// Width returns the share of the servers that the requests prefer, above 0 and at most 1.
+func (i *Interval) Width() float64 { return max(i.to-i.from, minWidth) }
+
+// Contains reports whether requests of the interval's size prefer the server at a place. A part of the server's positions suffices.
+func (i *Interval) Contains(place Place) bool {
+	if place.Servers < minServerCount {
+		return true
+	}
+	// An interval narrower than a server's part belongs to the server that its beginning falls on.
+	return place.to() > i.from && place.from() < max(i.to, i.from) || place.from() <= i.from && i.from < place.to() ||
+		i.from >= 1 && place.Rank == place.Servers-1
+}
+
+// Penalty returns the delay in seconds that is expected at the server at a place beyond that in the interval: what the request
+// would add for the smaller requests there, or what is left to read of a larger prompt when the request arrives.
+func (i *Interval) Penalty(place Place) float64 {
+	if i.Contains(place) {
+		return 0
+	}
+	usual := i.usualSize((place.from() + place.to()) / 2)
+	if usual < i.size {
+		return i.neighbours * (i.size - usual)
+	}
+	return residualShare * (usual - i.size)
+}
+
+// usualSize returns the mean size in seconds of the requests that prefer a position.
+func (i *Interval) usualSize(position float64) float64 {
+	for b, boundary := range i.boundaries {
+		if position <= boundary && i.sizes[b] > 0 {
+			return i.sizes[b]
+		}
+	}
+	return i.size
+}
