Exchange the load of model engines among routers

Cause: each router selects a server by its own open requests, an 83rd of the total, so that requests wait at one engine while others are free.

--- a/crlfleet/doc.go
+++ b/crlfleet/doc.go
@@ -12,6 +12,9 @@
 // others can be. A server without an entry, one that is leaving and one in an
 // evacuated failure domain get no new requests.
 //
-// A Fleet is safe for concurrent use. It holds its state in memory only, and
-// daemons do not exchange their observations.
+// The load that other daemons have at model engines is added to a server's
+// score if Config.Loads is set, and a server without memory for the request is
+// not picked while others have some.
+//
+// A Fleet is safe for concurrent use. It holds its state in memory only.
 package crlfleet
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -30,6 +30,7 @@
 	Daemons      func() int     // returns the number of daemons that send requests to the servers
 	ColdRatio    float64        // a cold server gets at most ColdRatio * Need.ColdRate + ColdSlack requests in any second
 	ColdSlack    float64        // requests that a cold server may get beyond the ratio in any second, from all daemons together
+	Loads        Loads          // exchanges the load of model engines with other daemons; nil for none
 	Random       func() float64 // returns random numbers in [0, 1); nil for math/rand/v2
 	Now          crlclock.Clock
 	OnTransition func(Transition) // called on each change of a server's state, with the fleet locked; nil for none
@@ -86,6 +87,8 @@
 	coldBuckets     []crlbudget.Bucket // limit the rate of requests while the server is cold; each belongs to a slot
 	openRequests    int
 	pendingWork     float64 // work of this daemon's open requests, in seconds of an unloaded server
+	tokens          float64 // tokens of this daemon's open requests, if their load is exchanged
+	remote          remoteLoad
 	health          health
 	limit           *statedLimit // nil without one
 	brittle         *brittleness // nil for a server that isn't
@@ -111,6 +114,7 @@
 	excessWait     average // time to the first byte beyond the expected one, in seconds
 	unansweredWork float64 // work of sends whose answers have not begun, in seconds of an unloaded server
 	unanswered     int     // number of sends whose answers have not begun
+	remote         remoteState
 }
 
 // serviceLoad returns the load of a service, and adds an empty one first if there is none.
@@ -150,6 +154,7 @@
 		}
 		f.servers[e.Server] = s
 		f.services[e.Service] = append(f.services[e.Service], s)
+		f.serviceLoad(e.Service).remote.refreshedAt = 0 // Without an estimate, the server would look idle.
 		f.config.OnTransition(Transition{Server: e.Server, Entry: e, State: StateInService, Cause: "announced"})
 	}
 	before := s.entry
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -34,6 +34,9 @@
 	ExpectedFirstByte time.Duration         // time to the first byte on an unloaded server
 	ColdRate          float64               // requests per second that a cold server of the service can handle, 0 for no limit
 	Exclude           map[crlid.Server]bool // servers that the request was already sent to
+	Engine            bool                  // the service is a model engine, whose load daemons exchange
+	Tokens            crlid.Tokens          // tokens of the prompt and the longest answer, 0 if not stated
+	MemoryTokens      crlid.Tokens          // tokens that a server of the service has memory for, 0 if not stated
 }
 
 // Affinity describes what a request saves on a server that has a part of its prompt cached. All daemons send requests with
@@ -56,6 +59,8 @@
 	answered          bool    // whether markAnswered was called
 	work              float64 // Need.Work until the answer begins, then 0
 	workAfter         float64 // copied from Need.WorkAfter, in seconds
+	exchanged         bool    // whether the send counts in Config.Loads
+	tokens            float64 // Need.Tokens if exchanged
 }
 
 const (
@@ -72,6 +77,7 @@
 	now := f.config.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.refreshRemote(need, now)
 	for _, preferred := range []bool{true, false} {
 		for _, available := range []bool{true, false} {
 			if s := f.best(need, preferred, available, now); s != nil {
@@ -80,11 +86,13 @@
 				l := f.serviceLoad(need.Service)
 				l.unansweredWork += need.Work
 				l.unanswered++
-				return &Pick{
+				p := &Pick{
 					Server: s.entry.Server, Address: s.entry.Address, Version: s.entry.Version,
 					ExpectedFirstByte: need.ExpectedFirstByte, fleet: f, server: s, load: l, work: need.Work, workAfter: need.WorkAfter,
 					pickedAt: now,
-				}, nil
+				}
+				f.beginLoad(p, need, now)
+				return p, nil
 			}
 		}
 	}
@@ -137,6 +145,7 @@
 	if available {
 		candidates = fewest(candidates, need.FewServers)
 	}
+	candidates = f.withRoom(candidates, need)
 	holder := need.Affinity.holder(candidates)
 	for len(candidates) > 0 {
 		best, lowest := 0, math.Inf(1)
@@ -191,9 +200,10 @@
 // score estimates the time to the first byte of the server's answer, in seconds. The work at a server that is slower than
 // usual for its service takes longer in proportion, and at a cold server the request's own work counts once more.
 func (f *Fleet) score(s *server, need Need, now crlclock.Instant) float64 {
-	usual := f.serviceLoad(need.Service).latencyFactor.mean(1)
+	l := f.serviceLoad(need.Service)
+	usual := l.latencyFactor.mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
-	score := (s.pendingWork+need.Work)*slowness + s.health.decayedWait(now)
+	score := (s.pendingWork+s.remote.work+need.Work)*slowness + s.health.decayedWait(now) + f.remoteScore(s, l)
 	if s.coldUntil > now {
 		score += need.Work
 	}
@@ -260,6 +270,7 @@
 	defer f.mu.Unlock()
 	p.server.pendingWork -= p.work
 	p.markAnswered()
+	p.endPrompt()
 	p.work = 0
 	p.server.health.recordWait(max(firstByte-p.ExpectedFirstByte, 0), now)
 }
@@ -281,6 +292,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.server.openRequests--
+	p.endLoad()
 	p.server.pendingWork -= p.work + p.workAfter
 	p.markAnswered()
 	if p.server.openRequests == 0 {
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -210,6 +210,7 @@
 	return s.config.Fleet.Pick(crlfleet.Need{
 		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, FewServers: few,
 		Work: cost.workSeconds, WorkAfter: cost.decodeSeconds, ExpectedFirstByte: cost.firstByte, Affinity: x.affinity(factor),
+		Engine: x.service.Slots > 0, Tokens: x.head.PromptTokens + x.head.MaxAnswerTokens, MemoryTokens: x.service.MemoryTokens,
 		Allows: func(v crlid.Version) bool {
 			return x.rolloutPlan.Allows(v) && (!pinned || v == x.lastVersion || v != x.rolloutPlan.Target)
 		},
--- a/crlrelay/exchange.go
+++ b/crlrelay/exchange.go
@@ -17,6 +17,23 @@
 	Learn(reply json.RawMessage)
 }
 
+// DeferredExchange is an Exchange whose replies are composed when a held call is answered, so that they are not older than the answer.
+type DeferredExchange interface {
+	Exchange
+	// Receive applies the message of a follower, and returns the function that composes the reply, nil for none. It is called instead of
+	// Reply.
+	Receive(request json.RawMessage) (reply func() json.RawMessage)
+}
+
+// Receive applies the message of a follower and returns the function that returns the exchange's reply.
+func Receive(e Exchange, request json.RawMessage) (reply func() json.RawMessage) {
+	if deferred, ok := e.(DeferredExchange); ok {
+		return deferred.Receive(request)
+	}
+	message := e.Reply(request)
+	return func() json.RawMessage { return message }
+}
+
 // noExchange is the Exchange of a daemon without messages.
 type noExchange struct{}
 
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -48,12 +48,12 @@
 	if sources := s.redirect(request); sources != nil {
 		return FollowResponse{Source: s.config.Self, Sources: sources}, nil
 	}
-	reply := s.config.Exchange.Reply(request.Exchange)
+	reply := Receive(s.config.Exchange, request.Exchange)
 	if s.loaded() {
 		s.wait(ctx, request)
 	}
 	answeredAt := s.config.Now()
-	response := FollowResponse{Source: s.config.Self, Topics: make(map[Topic]TopicDelta, len(s.config.Replicas)), Exchange: reply}
+	response := FollowResponse{Source: s.config.Self, Topics: make(map[Topic]TopicDelta, len(s.config.Replicas)), Exchange: reply()}
 	// The held time is rounded down and ages are rounded up, so that no confirmation looks newer than it is.
 	response.HeldFor = Milliseconds(answeredAt.Sub(receivedAt).Milliseconds())
 	for topic, replica := range s.config.Replicas {
--- a/crlroute/table.go
+++ b/crlroute/table.go
@@ -164,6 +164,11 @@
 // Service returns the service of a name, or nil if it is not configured.
 func (t *Table) Service(name crlid.Service) *Service { return t.services[name] }
 
+// HasEngines reports whether any service is a model engine.
+func (t *Table) HasEngines() bool {
+	return slices.ContainsFunc(t.config.Services, func(s Service) bool { return s.Slots > 0 })
+}
+
 // Organisation returns the organisation that an API key belongs to; ok is false for an unknown key.
 func (t *Table) Organisation(key string) (organisation Organisation, ok bool) {
 	organisation, ok = t.config.Keys[key]
--- a/crlrouter/evidence.go
+++ b/crlrouter/evidence.go
@@ -12,7 +12,8 @@
 )
 
 // evidenceExchange exchanges what daemons observed in running roll-outs. It implements crlrelay.Exchange: a follower reports its
-// observations to its source, which replies whether the target is bad.
+// observations to its source, which replies whether the target is bad. Its messages are the lists of roll-outs of a
+// crlrollout.Report and a crlrollout.Reply.
 type evidenceExchange struct {
 	rollouts *crlrollout.Tracker
 	reporter *crlrollout.Reporter
@@ -33,7 +34,7 @@
 	if !ok {
 		return nil
 	}
-	return e.encode(report)
+	return e.encode(report.Rollouts)
 }
 
 // Pending reports whether a roll-out is running.
@@ -45,19 +46,19 @@
 		return nil
 	}
 	var report crlrollout.Report
-	if err := json.Unmarshal(request, &report); err != nil {
+	if err := json.Unmarshal(request, &report.Rollouts); err != nil {
 		e.logger.Event(EventBadRecord, slog.String("key", "report"), slog.String("cause", err.Error()))
 		return nil
 	}
 	reply, markedBad := e.rollouts.Receive(report, e.now())
 	e.logMarkedBad(markedBad, "reports of other daemons")
-	return e.encode(reply)
+	return e.encode(reply.Rollouts)
 }
 
 // Learn applies a source's reply.
 func (e *evidenceExchange) Learn(reply json.RawMessage) {
 	var decoded crlrollout.Reply
-	if err := json.Unmarshal(reply, &decoded); err != nil {
+	if err := json.Unmarshal(reply, &decoded.Rollouts); err != nil {
 		e.logger.Event(EventBadRecord, slog.String("key", "reply to a report"), slog.String("cause", err.Error()))
 		return
 	}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -26,6 +26,7 @@
 	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlrelay"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
+	"github.com/cranberrylock/cranberrylock/crlworkload"
 )
 
 // Topics are the names of the store's topics that the router reads.
@@ -68,7 +69,8 @@
 	reporter   *statusReporter
 	members    *membership
 	follower   *crlrelay.Follower
-	evidence   *evidenceExchange
+	workload   *crlworkload.Table
+	exchanges  *exchanges
 	quarantine *quarantineLedger
 	replicas   map[crlrelay.Topic]*crlrelay.Replica
 	fleet      *crlfleet.Fleet
@@ -99,7 +101,7 @@
 		Self: r.incarnation, Daemons: func() int { return r.follower.Count() }, Alone: func() bool { return r.isAlone() }, Exposure: s.Bounds.Exposure,
 		ExposureSlack: s.Bounds.ExposureSlack,
 	})
-	r.evidence = newEvidenceExchange(rollouts, config.Clock, config.Logger)
+	r.workload, r.exchanges = r.newExchanges(rollouts)
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
 		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
 		Replicas: r.replicas, ApplyOrder: topicApplyOrder, Peers: config.Peers, Now: config.Clock, Log: config.Logger,
@@ -107,7 +109,7 @@
 		MaxAge: map[crlrelay.Topic]time.Duration{
 			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
 		},
-		Exchange: r.evidence,
+		Exchange: r.exchanges,
 	})
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
@@ -116,7 +118,7 @@
 	}
 	r.fleet = crlfleet.New(crlfleet.Config{
 		Domain: s.Domain, Slots: r.members.slots, Daemons: r.follower.Count, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
-		Now: config.Clock, OnTransition: logTransition(config.Logger),
+		Loads: r.workload, Now: config.Clock, OnTransition: logTransition(config.Logger),
 	})
 	r.orders = &orderProcessor{
 		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, logger: config.Logger, tableOffset: crlid.NoOffset,
@@ -149,7 +151,7 @@
 		// Open requests may use half of the memory limit.
 		MaxOpenRequests: max(int(float64(s.MemoryBytes)*memoryLimitFraction/2/requestMemoryBytes), minOpenRequests),
 	})
-	r.registry.MustRegister(r.gauges()...)
+	r.registry.MustRegister(append(r.gauges(), r.exchangeCounters()...)...)
 	return r
 }
 
@@ -166,6 +168,12 @@
 	return l
 }
 
+// hasEngines reports whether the configuration in force has services of model engines.
+func (r *Router) hasEngines() bool {
+	current := r.orders.current.Load()
+	return current != nil && current.table != nil && current.table.HasEngines()
+}
+
 // isAlone reports whether neither the store nor any other router is known to be reachable.
 func (r *Router) isAlone() bool { return r.follower.ShouldReadStore() && r.failingTopics.Load() > 0 }
 
@@ -345,7 +353,7 @@
 	mux := crlpeer.NewMux()
 	mux.Register(crlrelay.MethodFollow, crlpeer.Typed(crlrelay.NewServer(crlrelay.ServerConfig{
 		Address: s.PeerListen, Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, UpdateRoster: r.follower.UpdateRoster,
-		Now: r.config.Clock, Exchange: r.evidence,
+		Now: r.config.Clock, Exchange: r.exchanges,
 	}).Follow))
 	group.Add(func() error { return mux.Serve(taskCtx, peers) }, func(error) { _ = peers.Close() })
 	probe := &http.Server{Handler: r.probeHandler(), ReadHeaderTimeout: probeHeaderTimeout}
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -181,7 +181,7 @@
 	})
 	c.serve(ctx, n, crlrelay.NewServer(crlrelay.ServerConfig{
 		Address: address(n), Self: started.incarnation, Replicas: started.replicas, Roster: started.follower.Roster,
-		UpdateRoster: started.follower.UpdateRoster, Now: c.clock, Exchange: started.evidence,
+		UpdateRoster: started.follower.UpdateRoster, Now: c.clock, Exchange: started.exchanges,
 	}))
 	for _, task := range started.tasks() {
 		go func() { _ = task(ctx) }()
