--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -34,6 +34,9 @@
 	ExpectedFirstByte time.Duration         // time to the first byte on an unloaded server
 	ColdRate          float64               // requests per second that a cold server of the service can handle, 0 for no limit
 	Exclude           map[crlid.Server]bool // servers that the request was already sent to
+	Engine            bool                  // the service is a model engine, whose load daemons exchange
+	Tokens            crlid.Tokens          // tokens of the prompt and the longest answer, 0 if not stated
+	MemoryTokens      crlid.Tokens          // tokens that a server of the service has memory for, 0 if not stated
 }
 
 // Affinity describes what a request saves on a server that has a part of its prompt cached. All daemons send requests with
@@ -57,6 +60,8 @@
 	answered          bool    // whether markAnswered was called
 	work              float64 // Need.Work until the answer begins, then 0
 	workAfter         float64 // copied from Need.WorkAfter, in seconds
+	exchanged         bool    // whether the send counts in Config.Loads
+	tokens            float64 // Need.Tokens if exchanged
 }
 
 const (
@@ -75,6 +80,7 @@
 	defer f.mu.Unlock()
 	// Recorded first, so that the request's own size is known when its interval is computed.
 	f.serviceLoad(need.Service).partition.Record(need.Work, need.Work+need.WorkAfter, now)
+	f.refreshRemote(need, now)
 	for _, preferred := range []bool{true, false} {
 		for _, available := range []bool{true, false} {
 			if s := f.best(need, preferred, available, now); s != nil {
@@ -84,11 +90,13 @@
 				l.backlog(need.Work).begin(need.Work)
 				segment := &l.segments[segment(s.place)]
 				segment.begin(now)
-				return &Pick{
+				p := &Pick{
 					Server: s.entry.Server, Address: s.entry.Address, Version: s.entry.Version,
 					ExpectedFirstByte: need.ExpectedFirstByte, fleet: f, server: s, load: l, work: need.Work, workAfter: need.WorkAfter,
 					pickedAt: now, segment: segment,
-				}, nil
+				}
+				f.beginLoad(p, need, now)
+				return p, nil
 			}
 		}
 	}
@@ -141,6 +149,7 @@
 	if available {
 		candidates = fewest(candidates, need.FewServers)
 	}
+	candidates = f.withRoom(candidates, need)
 	f.updatePlaces(need.Service, now)
 	interval := f.serviceLoad(need.Service).partition.Interval(need.Work, f.partitionFleet(need.Service), now)
 	holder := need.Affinity.holder(preferredBy(&interval, candidates))
@@ -197,10 +206,11 @@
 // score estimates the time to the first byte of the server's answer, in seconds. The work at a server that is slower than
 // usual for its service takes longer in proportion, and at a cold server the request's own work counts once more.
 func (f *Fleet) score(s *server, need Need, now crlclock.Instant) float64 {
-	usual := f.serviceLoad(need.Service).latencyFactor.mean(1)
+	l := f.serviceLoad(need.Service)
+	usual := l.latencyFactor.mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
-	wait := max(s.health.decayedWait(now), f.serviceLoad(need.Service).segments[segment(s.place)].expected(now))
-	score := (s.pendingWork+need.Work)*slowness + wait
+	wait := max(s.health.decayedWait(now), l.segments[segment(s.place)].expected(now))
+	score := (s.pendingWork+s.remote.work+need.Work)*slowness + wait + f.remoteScore(s, l)
 	if s.coldUntil > now {
 		score += need.Work
 	}
@@ -270,6 +280,7 @@
 		p.segment.record(max(firstByte-p.ExpectedFirstByte, 0), now)
 	}
 	p.markAnswered()
+	p.endPrompt()
 	p.work = 0
 	p.server.health.recordWait(max(firstByte-p.ExpectedFirstByte, 0), now)
 }
@@ -291,6 +302,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.server.openRequests--
+	p.endLoad()
 	p.server.pendingWork -= p.work + p.workAfter
 	p.markAnswered()
 	if p.server.openRequests == 0 {
