Decide on the admission of requests to model engines

Only the number of open requests limited an overload: nothing compared the waits at the servers with the time that a request has left, a burst of one organisation took the servers from all others, larger models were used while urgent requests waited, and callers who were rejected during an outage of the store all returned after 1 s.

crladmission decides on each request before its first send, from the router's own observations: send, wait for more urgent ones, or reject with a Retry-After. Evidence of several requests at several servers is needed. Services that are no model engines and routes without an objective are served as before; only the Retry-After of configuration-not-proved, no-configuration and too many open requests changes for them.

Evidence: go test ./crladmission ./crlforward ./platform ./crlrouter passes.

--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -27,6 +27,7 @@
 func (s *Service) forward(ctx context.Context, x *exchange) *Refusal {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	defer s.endAdmission(ctx, x)
 	refusal := s.sendUntilFinal(ctx, x)
 	if refusal != nil && x.writeFallback() {
 		x.trace.cause = refusal.Reason + " at the larger model; sent the smaller model's answer"
@@ -43,6 +44,9 @@
 		if ctx.Err() != nil {
 			return x.finalRefusal(endReason(ctx, x))
 		}
+		if refusal := s.checkAdmission(ctx, x, plan); refusal != nil {
+			return refusal
+		}
 		v, refusal := s.sendNext(ctx, x, plan)
 		if refusal != nil {
 			if x.waitForServer(ctx, refusal) {
--- a/crlforward/metrics.go
+++ b/crlforward/metrics.go
@@ -9,6 +9,7 @@
 // Metrics holds the Prometheus metrics of a Service: requests by outcome, sends, and durations.
 type Metrics struct {
 	requests  *prometheus.CounterVec
+	admission *prometheus.CounterVec
 	sends     prometheus.Counter
 	handovers prometheus.Counter
 	latency   *prometheus.HistogramVec
@@ -20,6 +21,9 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cranberrylock_forward_requests_total", Help: "Requests by kind of route and outcome.",
 		}, []string{"kind", "outcome"}),
+		admission: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cranberrylock_forward_admissions_total", Help: "Decisions on requests for model engines before their first send, and on larger models.",
+		}, []string{"decision"}),
 		sends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cranberrylock_forward_sends_total", Help: "Sends to backend servers.",
 		}),
@@ -31,7 +35,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.sends, m.handovers, m.latency)
+	registry.MustRegister(m.requests, m.admission, m.sends, m.handovers, m.latency)
 	return m
 }
 
@@ -45,3 +49,6 @@
 	m.sends.Add(float64(len(x.trace.sends) - len(x.peers)))
 	m.latency.WithLabelValues(kind).Observe(duration.Seconds())
 }
+
+// countDecision counts one decision about admission.
+func (m *Metrics) countDecision(decision string) { m.admission.WithLabelValues(decision).Inc() }
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -75,8 +75,7 @@
 	}
 	result := crlfleet.Result{Outcome: crlfleet.OutcomeNeutral}
 	defer func() { pick.Done(result) }()
-	x.sends++
-	x.tried[pick.Server] = true
+	s.beginSend(x, pick.Server)
 	start := time.Now()
 	response, connected, err := s.attempt(ctx, cancel, x, pick, plan)
 	result.FirstByte = time.Since(start)
@@ -99,6 +98,7 @@
 	}
 	x.runs++
 	pick.RecordFirstByte(result.FirstByte)
+	s.recordBegun(x)
 	comparison := s.newComparison(x, pick, plan, start)
 	comparison.recordFirstByte(result.FirstByte)
 	s.sessions.record(x.sessionKey(), pick.Version)
@@ -336,7 +336,7 @@
 // repeated, the larger model is expected to start within the latency objective, and the retry budget allows it.
 func (s *Service) shouldEscalate(x *exchange, head AnswerHead, plan *modelPlan) bool {
 	if !plan.canEscalate() || x.stream.started || x.sends >= x.route.Attempts || !x.route.Repeatable() ||
-		head.Confidence == NoConfidence || head.Confidence >= escalateBelowConfidence {
+		head.Confidence == NoConfidence || head.Confidence >= escalateBelowConfidence || !s.allowsLargerModel(x) {
 		return false
 	}
 	factor := s.timeFactors.factor(plan.largest(), plan.models)
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cranberrylock/cranberrylock/crladmission"
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
@@ -59,6 +60,7 @@
 	probes       *probes
 	reachability *reachability
 	handovers    *handovers
+	admission    *crladmission.Controller
 	openRequests atomic.Int64
 	lastArrival  atomic.Int64 // time of the newest request, in nanoseconds since the Unix epoch
 	draining     atomic.Bool
@@ -74,7 +76,7 @@
 	}
 	s := &Service{
 		config: config, sessions: newSessions(config.SessionTimeout), timeFactors: newTimeFactors(), probes: newProbes(config.Probe),
-		handovers: newHandovers(config.Now),
+		handovers: newHandovers(config.Now), admission: crladmission.New(),
 	}
 	s.reachability = &reachability{
 		now: config.Now, addresses: config.Fleet.Addresses, probe: s.probes.probe, log: config.Log, failed: make(map[string]bool),
@@ -149,6 +151,7 @@
 	lastFailure   *reply                  // last answer with a 5xx status
 	fallback      *reply                  // complete answer of a smaller model, sent if the larger model does not answer
 	fallbackTimer *time.Timer             // ends a send in time for the fallback; nil without one
+	admission     admission
 	stream        stream
 	trace         trace
 }
@@ -232,7 +235,7 @@
 func (s *Service) findRoute(_ context.Context, x *exchange) *Refusal {
 	state := s.config.State()
 	if state.Table == nil {
-		return unavailable(ReasonNoConfiguration, notReadyRetryAfter)
+		return s.notReady(x, ReasonNoConfiguration, notReadyRetryAfter)
 	}
 	x.table, x.tableAge = state.Table, s.config.Now().Sub(state.AppliedAt)
 	x.path, _, _ = strings.Cut(x.request.RequestURI, "?")
@@ -250,7 +253,7 @@
 		return denial
 	}
 	x.trace.confirmationAge = age
-	return unavailable(ReasonUnconfirmed, unconfirmedRetryAfter)
+	return s.notReady(x, ReasonUnconfirmed, unconfirmedRetryAfter)
 }
 
 // authenticate finds the organisation that the caller's API key belongs to, unless the route or the table needs no key.
@@ -274,15 +277,15 @@
 	}
 	if age := s.config.Now().Sub(s.config.State().ConfirmedAt); age > s.config.MaxConfirmationAge {
 		x.trace.confirmationAge = age
-		return unavailable(ReasonUnconfirmed, unconfirmedRetryAfter)
+		return s.notReady(x, ReasonUnconfirmed, unconfirmedRetryAfter)
 	}
 	return nil
 }
 
 // checkOverload refuses the request if too many are open. Its body takes memory, so it is not read before.
-func (s *Service) checkOverload(context.Context, *exchange) *Refusal {
+func (s *Service) checkOverload(_ context.Context, x *exchange) *Refusal {
 	if int(s.openRequests.Load()) > s.config.MaxOpenRequests {
-		return unavailable(ReasonOverloaded, overloadRetryAfter)
+		return s.notReady(x, ReasonOverloaded, overloadRetryAfter)
 	}
 	return nil
 }
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -85,6 +85,7 @@
 	if x.trace.part != "" {
 		attributes = append(attributes, slog.String("part", x.trace.part))
 	}
+	attributes = append(attributes, x.admission.attributes()...)
 	if status == 0 || s.Draining() {
 		attributes = append(attributes, s.cutAttributes(x)...)
 	}
