Pass the size of a request to the expected wait in admission

Cause: ExpectedWait takes the size of the request since waits are averaged by size; admission was written against the old form. Change: admission passes the estimated time for reading the prompt. Evidence: tests of crlforward. Measured: nothing.

--- a/crlforward/admission.go
+++ b/crlforward/admission.go
@@ -74,17 +74,12 @@
 	_, servers := s.config.Fleet.Capacity(x.service.Name, "")
 	return crladmission.Request{
 		Service: x.service.Name, Organisation: x.caller.Name, ID: xxhash.Sum64String(string(x.head.Request)), Rank: x.priority(),
-		Begin: cost.firstByte.Seconds(), Cost: cost.workSeconds + cost.decodeSeconds, ExpectedWait: s.expectedWait(x),
+		Begin: cost.firstByte.Seconds(), Cost: cost.workSeconds + cost.decodeSeconds, ExpectedWait: s.config.Fleet.ExpectedWait(x.service.Name, cost.workSeconds),
 		Objective: x.route.Objective, Elapsed: time.Since(x.arrived), Left: time.Until(x.deadline), Servers: servers,
 		InProgress: x.head.Resumes || x.head.Session != "" && s.sessions.version(x.sessionKey()) != "",
 	}
 }
 
-// expectedWait returns the time for which a request is expected to wait at the servers of its service.
-func (s *Service) expectedWait(x *exchange) time.Duration {
-	return s.config.Fleet.ExpectedWait(x.service.Name)
-}
-
 // beginSend counts a send of a request and records the server.
 func (s *Service) beginSend(x *exchange, server crlid.Server) {
 	x.sends++
