Order servers of all versions together

Cause: the servers of each version were ordered by themselves, so that the few servers of a new version got requests of all sizes while the old version's were kept apart. Change: places are those among all servers of a service and failure domain, whatever their version.

--- a/crlfleet/place.go
+++ b/crlfleet/place.go
@@ -16,25 +16,19 @@
 // than the choice of a server.
 const placesInterval = 200 * time.Millisecond
 
-// placeGroup identifies the servers that can take each other's requests.
-type placeGroup struct {
-	version crlid.Version
-	domain  crlid.Domain
-}
-
-// updatePlaces computes the places of a service's servers anew unless that was done a moment ago.
+// updatePlaces computes the places of a service's servers anew unless that was done a moment ago. Servers of all versions are ordered
+// together, so that those of a new version get the same mix of sizes as the others, which a roll-out compares them with.
 func (f *Fleet) updatePlaces(service crlid.Service, now crlclock.Instant) {
 	l := f.serviceLoad(service)
 	if l.placedAt > 0 && now.Sub(l.placedAt) < placesInterval {
 		return
 	}
 	l.placedAt = now
-	groups := make(map[placeGroup][]*server)
+	groups := make(map[crlid.Domain][]*server)
 	for _, s := range f.services[service] {
 		s.place = crlpartition.Place{}
 		if f.inService(s) {
-			key := placeGroup{version: s.entry.Version, domain: s.entry.Domain}
-			groups[key] = append(groups[key], s)
+			groups[s.entry.Domain] = append(groups[s.entry.Domain], s)
 		}
 	}
 	for _, group := range groups {
--- a/crlpartition/interval.go
+++ b/crlpartition/interval.go
@@ -9,8 +9,7 @@
 	sizes      [BucketCount]float64 // mean size in each bucket in seconds, 0 without requests
 }
 
-// Place is the place of a server among those that can take each other's requests: the servers of one service, version and failure
-// domain.
+// Place is the place of a server among those of its service and failure domain.
 type Place struct {
 	Rank    int // number of servers before it in the order on which all daemons agree
 	Servers int // number of servers, 0 if unknown
