--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -203,7 +203,7 @@
 	l := f.serviceLoad(need.Service)
 	usual := l.latencyFactor.mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
-	score := (s.pendingWork+s.remote.work+need.Work)*slowness + s.health.decayedWait(now) + f.remoteScore(s, l)
+	score := (s.pendingWork+need.Work)*slowness + s.remote.work + s.health.decayedWait(now) + f.remoteScore(s, l)
 	if s.coldUntil > now {
 		score += need.Work
 	}
--- a/crlfleet/remote.go
+++ b/crlfleet/remote.go
@@ -95,7 +95,7 @@
 // In the meantime they have sent more. Each of them prefers the servers with the least load, so the work that has arrived since is assumed
 // to have filled these servers up to a common level, as water would. Among the servers below the level, a request is sent to one at random, in
 // proportion to its room below the level. Otherwise all daemons would send to the server whose reported load is lowest until the next
-// reports, for example one that has just returned. Daemons that are not heard from are assumed to have as much as this one at the
+// reports, for example one that has just returned. This daemon's own load is known exactly and is added afterwards. Daemons that are not heard from are assumed to have as much as this one at the
 // average server; without any reports, only this daemon's own load decides.
 func (f *Fleet) predictRemote(r *remoteState, servers []*server, others float64, now crlclock.Instant) {
 	if len(servers) == 0 {
@@ -121,7 +121,7 @@
 		// Requests that ended since are not deducted: an engine without memory for its requests fails, which costs more than a detour.
 		s.remote.tokens = reported.Tokens + missing*ownTokens + age.Seconds()*r.tokens.perSecond(now)*known/count
 		if f.inService(s) {
-			r.totals = append(r.totals, s.pendingWork+s.remote.work)
+			r.totals = append(r.totals, s.remote.work)
 		}
 	}
 	if len(r.totals) == 0 {
@@ -130,13 +130,12 @@
 	slices.Sort(r.totals)
 	lowest, level := r.totals[0], fillLevel(r.totals, arriving*age.Seconds())
 	for _, s := range servers {
-		total := s.pendingWork + s.remote.work
 		room := minRoomShare
 		if level > lowest {
-			room = max((level-total)/(level-lowest), minRoomShare)
+			room = max((level-s.remote.work)/(level-lowest), minRoomShare)
 		}
 		s.remote.bias = -raceScale * math.Log(room)
-		s.remote.work += max(level-total, 0)
+		s.remote.work = max(s.remote.work, level)
 	}
 }
 
--- a/crlrelay/exchange_test.go
+++ b/crlrelay/exchange_test.go
@@ -153,3 +153,36 @@
 		t.Fatal("deadlock")
 	}
 }
+
+// lateExchange replies with the time since the message of the follower arrived.
+type lateExchange struct {
+	recordedExchange
+
+	now crlclock.Clock
+}
+
+func (e *lateExchange) Receive(json.RawMessage) func() json.RawMessage {
+	receivedAt := e.now()
+	return func() json.RawMessage { return json.RawMessage(`"` + e.now().Sub(receivedAt).String() + `"`) }
+}
+
+// TestDeferredReplyIsAsNewAsTheAnswer guards against replies that are as old as the time for which a source holds a call.
+func TestDeferredReplyIsAsNewAsTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := crlclock.NewMonotonic()
+		d := newDaemon("a1", now)
+		d.server.config.Exchange = &lateExchange{now: now}
+		d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
+		d.replica.Confirm(now())
+		first, err := d.server.Follow(t.Context(), FollowRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		held, err := d.server.Follow(t.Context(), FollowRequest{
+			Source: first.Source, Cursors: map[Topic]Cursor{testTopic: first.Topics[testTopic].Cursor}, MaxWait: 300,
+		})
+		if err != nil || string(held.Exchange) != `"300ms"` {
+			t.Errorf("the reply to a call that was held for 300 ms is %s, %v", held.Exchange, err)
+		}
+	})
+}
--- a/crlworkload/table_test.go
+++ b/crlworkload/table_test.go
@@ -414,7 +414,40 @@
 	return table, reply
 }
 
-// TestMessageSize guards against messages that take more than 2 kB a second at 140 servers: two a second of a follower's calls.
+// TestTrafficOfFollowers guards against messages that grow with the number of daemons, or take much more than 2 kB a second for each. All servers
+// have load that changes all the time, and all sizes of requests occur.
+func TestTrafficOfFollowers(t *testing.T) {
+	for _, c := range []struct{ daemons, servers, limit int }{{83, 90, 2000}, {83, 140, 2800}, {295, 140, 2800}} {
+		random := rand.New(rand.NewPCG(1, 2))
+		g := newGroup(c.daemons, random)
+		change := func() {
+			for _, table := range g.tables {
+				server, amount := testServer(random.IntN(c.servers)), Amount{Requests: 1, PromptSeconds: 0.1, Tokens: 6000}
+				table.Begin(server, amount)
+				if random.Float64() < 0.6 {
+					table.End(server, amount)
+				}
+				table.RecordWork("drafts", random.IntN(Buckets), 0.1)
+				table.RecordWait("drafts", random.IntN(Buckets), time.Second)
+			}
+			g.run(100 * time.Millisecond)
+		}
+		for range 40 {
+			change()
+		}
+		g.sent = 0
+		for range 40 {
+			change()
+		}
+		perSecond := g.sent / 4 / (c.daemons - 1)
+		t.Logf("%d daemons, %d servers: %d bytes a second for each follower", c.daemons, c.servers, perSecond)
+		if perSecond > c.limit {
+			t.Errorf("%d daemons, %d servers: %d bytes a second for each follower, want at most %d", c.daemons, c.servers, perSecond, c.limit)
+		}
+	}
+}
+
+// TestMessageSize guards against a reply that takes more than 1,100 bytes at 140 servers.
 func TestMessageSize(t *testing.T) {
 	now := crlclock.Instant(time.Hour)
 	_, reply := loadedTable(&now)
