Leave known servers out of load messages

Cause: each load message listed the servers' hashes, most of its size, though the receiver had them from the message before. Change: a message whose receiver has the list refers to it by a digest and carries the amounts only. Evidence: TestKnownServersAreLeftOut, TestTrafficOfFollowers.

--- a/crlworkload/exchange.go
+++ b/crlworkload/exchange.go
@@ -49,14 +49,15 @@
 	if sum.isEmpty() && !t.sent.load && now >= t.awakeUntil {
 		return nil
 	}
-	preamble, content := encodeLoad(sum)
+	preamble, content := encodeLoad(sum, 0)
 	t.sent.at = now
 	if bytes.Equal(content, t.sent.content) {
 		h := t.nextHeader(messageSame)
-		h.same = t.sent.sequence
+		h.same, h.known = t.sent.sequence, digestOf(t.sourceKeys)
 		return encodeMessage(h, nil)
 	}
 	h := t.nextHeader(messageLoad)
+	h.known = digestOf(t.sourceKeys)
 	t.sent = sentState{at: now, content: content, sequence: h.sequence, load: !sum.isEmpty()}
 	return encodeMessage(h, append(preamble, content...))
 }
@@ -102,7 +103,7 @@
 	if request == nil {
 		return t.wake
 	}
-	h, l, err := decodeMessage(request)
+	h, l, err := decodeMessage(request, nil)
 	if err != nil {
 		t.countDrop(err)
 		return t.wake
@@ -125,21 +126,21 @@
 		return t.wake
 	}
 	t.followers[h.daemon], t.total = r, nil
-	return func() json.RawMessage { return t.replyTo(h.daemon) }
+	return func() json.RawMessage { return t.replyTo(h) }
 }
 
 // replyTo returns the reply to a follower.
-func (t *Table) replyTo(follower daemonKey) json.RawMessage {
+func (t *Table) replyTo(follower header) json.RawMessage {
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.isExchanging() {
 		return nil
 	}
-	sum := t.collect(now, follower, true)
+	sum := t.collect(now, follower.daemon, true)
 	t.addOwn(sum, now)
 	t.limit(sum)
-	preamble, content := encodeLoad(sum)
+	preamble, content := encodeLoad(sum, follower.known)
 	h := t.nextHeader(messageLoad)
 	h.path = append(t.sourcePath(now), h.path...)
 	return encodeMessage(h, append(preamble, content...))
@@ -161,7 +162,8 @@
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h, l, err := decodeMessage(reply)
+	h, l, err := decodeMessage(reply, t.sourceKeys)
+	t.sourceKeys = nil
 	if err != nil {
 		t.countDrop(err)
 		return
@@ -170,6 +172,7 @@
 		t.awakeUntil, t.sent.content = now.Add(wakeTime), nil
 		return
 	}
+	t.sourceKeys = l.keys
 	r := &report{load: l, receivedAt: now, incarnation: h.incarnation, sequence: h.sequence, path: h.path}
 	if slices.Contains(h.path, t.ownRank()) {
 		t.drops.Looped++
--- a/crlworkload/load.go
+++ b/crlworkload/load.go
@@ -45,9 +45,10 @@
 
 // load is a sum over daemons.
 type load struct {
-	daemons  float64 // number of the daemons, by weight
-	ages     float64 // sum of the daemons' ages by the same weight, in seconds
-	depth    int     // number of calls over which the oldest part came
+	daemons  float64     // number of the daemons, by weight
+	ages     float64     // sum of the daemons' ages by the same weight, in seconds
+	depth    int         // number of calls over which the oldest part came
+	keys     []serverKey // of the servers in the order of the message that held the sum
 	servers  map[serverKey]Amount
 	services map[serviceKey]*vector
 }
--- a/crlworkload/message.go
+++ b/crlworkload/message.go
@@ -9,6 +9,8 @@
 	"math/bits"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // messageVersion is the first byte of each message. A change of the layout needs another one.
@@ -52,8 +54,9 @@
 	// path holds the ranks of the daemons over which a reply came, from the root of the tree to the sender. That of a request holds only
 	// the sender's.
 	path     []uint64
-	sequence uint64 // rises with each message of an incarnation
-	same     uint64 // for messageSame, the sequence of the earlier message
+	sequence uint64     // rises with each message of an incarnation
+	same     uint64     // for messageSame, the sequence of the earlier message
+	known    keysDigest // of the servers in the latest reply that a follower has, 0 for none
 }
 
 // daemonUnit is the unit of a number of daemons in messages, which is a sum of weights.
@@ -70,6 +73,7 @@
 		message = binary.AppendUvarint(message, rank)
 	}
 	message = binary.AppendUvarint(message, h.sequence)
+	message = binary.AppendUvarint(message, uint64(h.known))
 	if h.kind == messageSame {
 		message = binary.AppendUvarint(message, h.same)
 	}
@@ -81,13 +85,29 @@
 	return encoded
 }
 
-// encodeLoad returns the body of a message about a sum, in two parts: what changes with each message, and the rest.
-func encodeLoad(l *load) (preamble, content []byte) {
+// keysDigest identifies a sorted list of servers, 0 stands for none.
+type keysDigest uint32
+
+// digestOf returns the digest of a list.
+func digestOf(keys []serverKey) keysDigest {
+	if len(keys) == 0 {
+		return 0
+	}
+	list := make([]byte, 0, 4*len(keys))
+	for _, key := range keys {
+		list = binary.BigEndian.AppendUint32(list, uint32(key))
+	}
+	return keysDigest(max(uint32(xxhash.Sum64(list)), 1))
+}
+
+// encodeLoad returns the body of a message about a sum, in two parts: what changes with each message, and the rest. The servers are left
+// out if they are those that the receiver knows.
+func encodeLoad(l *load, known keysDigest) (preamble, content []byte) {
 	preamble = binary.AppendUvarint(preamble, uint64(l.depth+1))
 	preamble = binary.AppendUvarint(preamble, uint64(max(l.meanAgeOrZero().Milliseconds(), 0)))
 	content = make([]byte, 0, 8+5*len(l.servers)+64*len(l.services))
 	content = binary.AppendUvarint(content, uint64(math.Round(l.daemons/daemonUnit)))
-	content = appendServers(content, l.servers)
+	content = appendServers(content, l.servers, known)
 	return preamble, appendServices(content, l.services)
 }
 
@@ -99,8 +119,9 @@
 	return l.meanAge()
 }
 
-// appendServers appends the servers with any load.
-func appendServers(content []byte, servers map[serverKey]Amount) []byte {
+// appendServers appends the servers with any load: their number plus 1 and their keys, or 0 and the digest of the keys if these are known;
+// then the codes of each.
+func appendServers(content []byte, servers map[serverKey]Amount, known keysDigest) []byte {
 	type codedServer struct {
 		key   serverKey
 		codes [3]code
@@ -114,12 +135,23 @@
 	}
 	slices.SortFunc(coded, func(a, b codedServer) int { return int(a.key) - int(b.key) })
 	coded = coded[:min(len(coded), maxServers)]
-	content = binary.AppendUvarint(content, uint64(len(coded)))
-	last := serverKey(0)
+	keys := make([]serverKey, 0, len(coded))
+	for _, s := range coded {
+		keys = append(keys, s.key)
+	}
+	if digest := digestOf(keys); digest != 0 && digest == known {
+		content = binary.AppendUvarint(content, 0)
+		content = binary.BigEndian.AppendUint32(content, uint32(digest))
+	} else {
+		content = binary.AppendUvarint(content, uint64(len(keys)+1))
+		last := serverKey(0)
+		for _, key := range keys {
+			content = binary.AppendUvarint(content, uint64(key-last))
+			last = key
+		}
+	}
 	for _, s := range coded {
-		content = binary.AppendUvarint(content, uint64(s.key-last))
 		content = append(content, byte(s.codes[0]), byte(s.codes[1]), byte(s.codes[2]))
-		last = s.key
 	}
 	return content
 }
@@ -153,6 +185,7 @@
 // reader reads the parts of a message. After the first part that is missing, it returns zeros and failed is set.
 type reader struct {
 	rest   []byte
+	known  []serverKey
 	failed bool
 }
 
@@ -179,8 +212,8 @@
 // rank returns the sender's rank.
 func (h *header) rank() uint64 { return h.path[len(h.path)-1] }
 
-// decodeMessage returns the parts of a message; l is nil unless its kind is messageLoad.
-func decodeMessage(message json.RawMessage) (h header, l *load, err error) {
+// decodeMessage returns the parts of a message; l is nil unless its kind is messageLoad. known are the servers that the message may leave out.
+func decodeMessage(message json.RawMessage, known []serverKey) (h header, l *load, err error) {
 	var raw []byte
 	if err := json.Unmarshal(message, &raw); err != nil || len(raw) == 0 {
 		return header{}, nil, errMalformed
@@ -188,7 +221,7 @@
 	if raw[0] != messageVersion {
 		return header{}, nil, errOtherVersion
 	}
-	r := &reader{rest: raw[1:]}
+	r := &reader{rest: raw[1:], known: known}
 	h.kind = messageKind(r.bytes(1)[0])
 	h.daemon = daemonKey(binary.BigEndian.Uint32(r.bytes(4)))
 	h.incarnation = binary.BigEndian.Uint32(r.bytes(4))
@@ -196,6 +229,7 @@
 		h.path = append(h.path, r.uvarint(math.MaxInt32))
 	}
 	h.sequence = r.uvarint(math.MaxUint64)
+	h.known = keysDigest(r.uvarint(math.MaxUint32))
 	switch h.kind {
 	case messageLoad:
 		l = r.load()
@@ -219,9 +253,8 @@
 	age := time.Duration(r.uvarint(math.MaxInt32)) * time.Millisecond
 	l.daemons = float64(r.uvarint(math.MaxInt32)) * daemonUnit
 	l.ages = l.daemons * age.Seconds()
-	key := serverKey(0)
-	for range r.uvarint(maxServers) {
-		key += serverKey(r.uvarint(1 << serverKeyBits))
+	l.keys = r.keys()
+	for _, key := range l.keys {
 		codes := r.bytes(3)
 		l.servers[key] = Amount{
 			Requests: code(codes[0]).value(1), PromptSeconds: code(codes[1]).value(promptUnit), Tokens: code(codes[2]).value(tokenUnit),
@@ -241,6 +274,23 @@
 	return l
 }
 
+// keys reads the list of servers.
+func (r *reader) keys() (keys []serverKey) {
+	count := r.uvarint(maxServers + 1)
+	if count == 0 {
+		if digest := keysDigest(binary.BigEndian.Uint32(r.bytes(4))); digest != digestOf(r.known) {
+			r.failed = true
+		}
+		return r.known
+	}
+	key := serverKey(0)
+	for range count - 1 {
+		key += serverKey(r.uvarint(1 << serverKeyBits))
+		keys = append(keys, key)
+	}
+	return keys
+}
+
 // isPlausible reports whether servers can have the load.
 func (l *load) isPlausible() bool {
 	for _, a := range l.servers {
--- a/crlworkload/table.go
+++ b/crlworkload/table.go
@@ -32,8 +32,9 @@
 	flows       map[serviceKey]*recentFlows
 	followers   map[daemonKey]*report
 	source      *report
-	sourceKey   daemonKey // of the daemon that sent source
-	total       *load     // load of other daemons, as of totalAt; nil when it must be summed up again
+	sourceKey   daemonKey   // of the daemon that sent source
+	sourceKeys  []serverKey // servers in the newest reply; the next one may leave them out
+	total       *load       // load of other daemons, as of totalAt; nil when it must be summed up again
 	totalAt     crlclock.Instant
 	sent        sentState
 	awakeUntil  crlclock.Instant // until then, other daemons are known to have load
--- a/crlworkload/table_test.go
+++ b/crlworkload/table_test.go
@@ -226,7 +226,7 @@
 	sender := func(daemons float64, depth int, age time.Duration, amount Amount, version byte) json.RawMessage {
 		l := newLoad()
 		l.daemons, l.depth, l.ages, l.servers[7] = daemons, depth-1, daemons*age.Seconds(), amount
-		preamble, content := encodeLoad(l)
+		preamble, content := encodeLoad(l, 0)
 		message := encodeMessage(header{daemon: 99, path: []uint64{rank}, sequence: 5}, append(preamble, content...))
 		var raw []byte
 		if err := json.Unmarshal(message, &raw); err != nil {
@@ -281,6 +281,35 @@
 	}
 }
 
+// TestKnownServersAreLeftOut guards against replies that list the same servers each time, and against amounts that are added to the wrong servers
+// if the receiver has another list, for example after its restart.
+func TestKnownServersAreLeftOut(t *testing.T) {
+	now := crlclock.Instant(time.Hour)
+	source, table, explicit := newLoadedTables(&now)
+	exchange := func() json.RawMessage {
+		now = now.Add(callTime)
+		table.Begin(testServer(0), Amount{Requests: 1})
+		reply := source.Reply(table.Request(false))
+		table.Learn(reply)
+		return reply
+	}
+	short := exchange()
+	if len(short) > len(explicit)*3/4 {
+		t.Errorf("a reply about known servers takes %d bytes, the first one %d", len(short), len(explicit))
+	}
+	if got, _ := table.Others(testServer(7), now); got.Requests != 12 || math.Abs(got.Tokens-21_000) > 700 {
+		t.Errorf("the table holds %v", got)
+	}
+	table.sourceKeys = table.sourceKeys[1:]
+	table.Learn(short)
+	if got := table.Drops(); got.Malformed != 1 {
+		t.Errorf("drops %+v, want a malformed message", got)
+	}
+	if reply := exchange(); len(reply) < len(short)+100 || table.Drops().Malformed != 1 {
+		t.Errorf("the reply after one that was not understood has %d bytes, want the list of servers", len(reply))
+	}
+}
+
 // TestAnyTextIsDecodedOrDropped guards against panics and unbounded memory on damaged messages.
 func TestAnyTextIsDecodedOrDropped(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -289,7 +318,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, l, err := decodeMessage(message); err == nil && l != nil && (len(l.servers) > maxServers || len(l.services) > maxServices) {
+		if _, l, err := decodeMessage(message, nil); err == nil && l != nil && (len(l.servers) > maxServers || len(l.services) > maxServices) {
 			t.Fatalf("%d servers and %d services", len(l.servers), len(l.services))
 		}
 	})
@@ -309,8 +338,8 @@
 		v := &vector{}
 		v[rapid.IntRange(0, Buckets-1).Draw(t, "bucket")] = flow{work: rapid.Float64Range(0.01, 100).Draw(t, "work"), waits: 3, count: 2}
 		l.services[5] = v
-		preamble, content := encodeLoad(l)
-		_, got, err := decodeMessage(encodeMessage(header{path: []uint64{1}}, append(preamble, content...)))
+		preamble, content := encodeLoad(l, 0)
+		_, got, err := decodeMessage(encodeMessage(header{path: []uint64{1}}, append(preamble, content...)), nil)
 		if err != nil || got.daemons != l.daemons || got.depth != l.depth+1 || len(got.servers) != len(l.servers) {
 			t.Fatalf("%v: got %+v, want %+v", err, got, l)
 		}
@@ -394,12 +423,15 @@
 	}
 }
 
-// loadedTable returns a table with a source that reports load at 140 servers, and a follower.
-func loadedTable(now *crlclock.Instant) (table *Table, reply json.RawMessage) {
+// newLoadedTables returns a source with load at 140 servers and a follower, which has the source's first reply.
+func newLoadedTables(now *crlclock.Instant) (source, follower *Table, reply json.RawMessage) {
 	configOf := func(name string, rank int) Config {
-		return Config{Address: name, Rank: func() int { return rank }, Incarnation: crlid.Incarnation(name), Daemons: func() int { return 83 }, Now: func() crlclock.Instant { return *now }}
+		return Config{
+			Address: name, Rank: func() int { return rank }, Incarnation: crlid.Incarnation(name), Daemons: func() int { return 83 },
+			Now: func() crlclock.Instant { return *now },
+		}
 	}
-	source := New(configOf("source", 1))
+	source, follower = New(configOf("source", 1)), New(configOf("follower", 2))
 	for n := range 140 {
 		source.Begin(testServer(n), Amount{Requests: float64(5 + n%20), PromptSeconds: 0.01 * float64(n%40), Tokens: float64(3000 * (n % 30))})
 	}
@@ -407,17 +439,16 @@
 		source.RecordWork("drafts", bucket, 1)
 		source.RecordWait("drafts", bucket, time.Second)
 	}
-	table = New(configOf("table", 2))
-	table.Begin(testServer(0), Amount{Requests: 1})
-	reply = source.Reply(table.Request(true))
-	table.Learn(reply)
-	return table, reply
+	follower.Begin(testServer(0), Amount{Requests: 1})
+	reply = source.Reply(follower.Request(true))
+	follower.Learn(reply)
+	return source, follower, reply
 }
 
 // TestTrafficOfFollowers guards against messages that grow with the number of daemons, or take much more than 2 kB a second for each. All servers
 // have load that changes all the time, and all sizes of requests occur.
 func TestTrafficOfFollowers(t *testing.T) {
-	for _, c := range []struct{ daemons, servers, limit int }{{83, 90, 2000}, {83, 140, 2800}, {295, 140, 2800}} {
+	for _, c := range []struct{ daemons, servers, limit int }{{83, 90, 1600}, {83, 140, 2100}, {295, 140, 2100}} {
 		random := rand.New(rand.NewPCG(1, 2))
 		g := newGroup(c.daemons, random)
 		change := func() {
@@ -450,7 +481,7 @@
 // TestMessageSize guards against a reply that takes more than 1,100 bytes at 140 servers.
 func TestMessageSize(t *testing.T) {
 	now := crlclock.Instant(time.Hour)
-	_, reply := loadedTable(&now)
+	_, _, reply := newLoadedTables(&now)
 	t.Logf("reply %d bytes", len(reply))
 	if len(reply) > 1100 {
 		t.Errorf("a reply takes %d bytes", len(reply))
@@ -459,7 +490,7 @@
 
 func BenchmarkOthers(b *testing.B) {
 	now := crlclock.Instant(time.Hour)
-	table, _ := loadedTable(&now)
+	_, table, _ := newLoadedTables(&now)
 	server := testServer(3)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -470,8 +501,7 @@
 // BenchmarkExchange measures one call of a follower at both ends, for 140 servers.
 func BenchmarkExchange(b *testing.B) {
 	now := crlclock.Instant(time.Hour)
-	table, _ := loadedTable(&now)
-	source, _ := loadedTable(&now)
+	source, table, _ := newLoadedTables(&now)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(callTime)
