--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -210,7 +210,7 @@
 	usual := l.latencyFactor.mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
 	wait := max(s.health.decayedWait(now), l.segments[segment(s.place)].expected(now))
-	score := (s.pendingWork+s.remote.work+need.Work)*slowness + wait + f.remoteScore(s, l)
+	score := (s.pendingWork+need.Work)*slowness + s.remote.work + wait + f.remoteScore(s, l)
 	if s.coldUntil > now {
 		score += need.Work
 	}
--- a/crlworkload/table_test.go
+++ b/crlworkload/table_test.go
@@ -225,8 +225,9 @@
 	rank := uint64(3)
 	sender := func(daemons float64, depth int, age time.Duration, amount Amount, version byte) json.RawMessage {
 		l := newLoad()
-		l.daemons, l.depth, l.ages, l.servers[7] = daemons, depth-1, daemons*age.Seconds(), amount
-		preamble, content := encodeLoad(l)
+		l.daemons, l.depth, l.ages = daemons, depth-1, daemons*age.Seconds()
+		l.servers.set(7, amount)
+		preamble, content := encodeLoad(l, 0)
 		message := encodeMessage(header{daemon: 99, path: []uint64{rank}, sequence: 5}, append(preamble, content...))
 		var raw []byte
 		if err := json.Unmarshal(message, &raw); err != nil {
@@ -281,6 +282,35 @@
 	}
 }
 
+// TestKnownServersAreLeftOut guards against replies that list the same servers each time, and against amounts that are added to the wrong servers
+// if the receiver has another list, for example after its restart.
+func TestKnownServersAreLeftOut(t *testing.T) {
+	now := crlclock.Instant(time.Hour)
+	source, table, explicit := newLoadedTables(&now)
+	exchange := func() json.RawMessage {
+		now = now.Add(callTime)
+		table.Begin(testServer(0), Amount{Requests: 1})
+		reply := source.Reply(table.Request(false))
+		table.Learn(reply)
+		return reply
+	}
+	short := exchange()
+	if len(short) > len(explicit)*3/4 {
+		t.Errorf("a reply about known servers takes %d bytes, the first one %d", len(short), len(explicit))
+	}
+	if got, _ := table.Others(testServer(7), now); got.Requests != 12 || math.Abs(got.Tokens-21_000) > 700 {
+		t.Errorf("the table holds %v", got)
+	}
+	table.sourceKeys = table.sourceKeys[1:]
+	table.Learn(short)
+	if got := table.Drops(); got.Malformed != 1 {
+		t.Errorf("drops %+v, want a malformed message", got)
+	}
+	if reply := exchange(); len(reply) < len(short)+100 || table.Drops().Malformed != 1 {
+		t.Errorf("the reply after one that was not understood has %d bytes, want the list of servers", len(reply))
+	}
+}
+
 // TestAnyTextIsDecodedOrDropped guards against panics and unbounded memory on damaged messages.
 func TestAnyTextIsDecodedOrDropped(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -289,7 +319,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, l, err := decodeMessage(message); err == nil && l != nil && (len(l.servers) > maxServers || len(l.services) > maxServices) {
+		if _, l, err := decodeMessage(message, nil); err == nil && l != nil && (len(l.servers) > maxServers || len(l.services) > maxServices) {
 			t.Fatalf("%d servers and %d services", len(l.servers), len(l.services))
 		}
 	})
@@ -301,22 +331,22 @@
 		l := newLoad()
 		l.daemons, l.depth = float64(rapid.IntRange(1, 400).Draw(t, "daemons")), rapid.IntRange(0, 9).Draw(t, "depth")
 		for range rapid.IntRange(0, 50).Draw(t, "servers") {
-			l.servers[serverKey(rapid.Uint32Range(0, 1<<serverKeyBits-1).Draw(t, "key"))] = Amount{
+			l.servers.set(serverKey(rapid.Uint32Range(0, 1<<serverKeyBits-1).Draw(t, "key")), Amount{
 				Requests: float64(rapid.IntRange(1, 1000).Draw(t, "requests")), PromptSeconds: rapid.Float64Range(0.001, 200).Draw(t, "prompt"),
 				Tokens: rapid.Float64Range(8, 2e6).Draw(t, "tokens"),
-			}
+			})
 		}
 		v := &vector{}
 		v[rapid.IntRange(0, Buckets-1).Draw(t, "bucket")] = flow{work: rapid.Float64Range(0.01, 100).Draw(t, "work"), waits: 3, count: 2}
 		l.services[5] = v
-		preamble, content := encodeLoad(l)
-		_, got, err := decodeMessage(encodeMessage(header{path: []uint64{1}}, append(preamble, content...)))
+		preamble, content := encodeLoad(l, 0)
+		_, got, err := decodeMessage(encodeMessage(header{path: []uint64{1}}, append(preamble, content...)), nil)
 		if err != nil || got.daemons != l.daemons || got.depth != l.depth+1 || len(got.servers) != len(l.servers) {
 			t.Fatalf("%v: got %+v, want %+v", err, got, l)
 		}
 		near := func(a, b, unit float64) bool { return math.Abs(a-b) <= b/32+unit/2+1e-9 }
-		for key, want := range l.servers {
-			a := got.servers[key]
+		for _, s := range l.servers {
+			a, want := got.servers.get(s.key), s.amount
 			if !near(a.Requests, want.Requests, 1) || !near(a.PromptSeconds, want.PromptSeconds, promptUnit) || !near(a.Tokens, want.Tokens, tokenUnit) {
 				t.Fatalf("got %v, want %v", a, want)
 			}
@@ -329,6 +359,35 @@
 	})
 }
 
+// TestListsAddUp guards against servers that are lost, doubled or out of order in sums of lists.
+func TestListsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := make(map[serverKey]float64)
+		draw := func(name string, weight float64) (list serverLoads) {
+			for _, key := range rapid.SliceOfN(rapid.Uint32Range(0, 20), 0, 30).Draw(t, name) {
+				list.set(serverKey(key), list.get(serverKey(key)).plus(Amount{Requests: 1}, 1))
+				want[serverKey(key)] += weight
+			}
+			return list
+		}
+		sum := sumOf(draw("a", 1), draw("b", 0.5), 0.5)
+		for i, s := range sum {
+			if s.amount.Requests != want[s.key] || i > 0 && sum[i-1].key >= s.key {
+				t.Fatalf("%v, want %v", sum, want)
+			}
+		}
+		if len(sum) != len(want) {
+			t.Fatalf("%d servers, want %d", len(sum), len(want))
+		}
+		for key := range want {
+			sum.remove(key)
+		}
+		if len(sum) != 0 {
+			t.Fatalf("%v is left", sum)
+		}
+	})
+}
+
 // TestAnyTopologyForgetsLoad guards against load that daemons pass on in a circle, and against more daemons than there are. Daemons follow any
 // others, change their sources and restart.
 func TestAnyTopologyForgetsLoad(t *testing.T) {
@@ -394,12 +453,15 @@
 	}
 }
 
-// loadedTable returns a table with a source that reports load at 140 servers, and a follower.
-func loadedTable(now *crlclock.Instant) (table *Table, reply json.RawMessage) {
+// newLoadedTables returns a source with load at 140 servers and a follower, which has the source's first reply.
+func newLoadedTables(now *crlclock.Instant) (source, follower *Table, reply json.RawMessage) {
 	configOf := func(name string, rank int) Config {
-		return Config{Address: name, Rank: func() int { return rank }, Incarnation: crlid.Incarnation(name), Daemons: func() int { return 83 }, Now: func() crlclock.Instant { return *now }}
+		return Config{
+			Address: name, Rank: func() int { return rank }, Incarnation: crlid.Incarnation(name), Daemons: func() int { return 83 },
+			Now: func() crlclock.Instant { return *now },
+		}
 	}
-	source := New(configOf("source", 1))
+	source, follower = New(configOf("source", 1)), New(configOf("follower", 2))
 	for n := range 140 {
 		source.Begin(testServer(n), Amount{Requests: float64(5 + n%20), PromptSeconds: 0.01 * float64(n%40), Tokens: float64(3000 * (n % 30))})
 	}
@@ -407,17 +469,49 @@
 		source.RecordWork("drafts", bucket, 1)
 		source.RecordWait("drafts", bucket, time.Second)
 	}
-	table = New(configOf("table", 2))
-	table.Begin(testServer(0), Amount{Requests: 1})
-	reply = source.Reply(table.Request(true))
-	table.Learn(reply)
-	return table, reply
+	follower.Begin(testServer(0), Amount{Requests: 1})
+	reply = source.Reply(follower.Request(true))
+	follower.Learn(reply)
+	return source, follower, reply
+}
+
+// TestTrafficOfFollowers guards against messages that grow with the number of daemons, or take much more than 2 kB a second for each. All servers
+// have load that changes all the time, and all sizes of requests occur.
+func TestTrafficOfFollowers(t *testing.T) {
+	for _, c := range []struct{ daemons, servers, limit int }{{83, 90, 1600}, {83, 140, 2100}, {295, 140, 2100}} {
+		random := rand.New(rand.NewPCG(1, 2))
+		g := newGroup(c.daemons, random)
+		change := func() {
+			for _, table := range g.tables {
+				server, amount := testServer(random.IntN(c.servers)), Amount{Requests: 1, PromptSeconds: 0.1, Tokens: 6000}
+				table.Begin(server, amount)
+				if random.Float64() < 0.6 {
+					table.End(server, amount)
+				}
+				table.RecordWork("drafts", random.IntN(Buckets), 0.1)
+				table.RecordWait("drafts", random.IntN(Buckets), time.Second)
+			}
+			g.run(100 * time.Millisecond)
+		}
+		for range 40 {
+			change()
+		}
+		g.sent = 0
+		for range 40 {
+			change()
+		}
+		perSecond := g.sent / 4 / (c.daemons - 1)
+		t.Logf("%d daemons, %d servers: %d bytes a second for each follower", c.daemons, c.servers, perSecond)
+		if perSecond > c.limit {
+			t.Errorf("%d daemons, %d servers: %d bytes a second for each follower, want at most %d", c.daemons, c.servers, perSecond, c.limit)
+		}
+	}
 }
 
-// TestMessageSize guards against messages that take more than 2 kB a second at 140 servers: two a second of a follower's calls.
+// TestMessageSize guards against a reply that takes more than 1,100 bytes at 140 servers.
 func TestMessageSize(t *testing.T) {
 	now := crlclock.Instant(time.Hour)
-	_, reply := loadedTable(&now)
+	_, _, reply := newLoadedTables(&now)
 	t.Logf("reply %d bytes", len(reply))
 	if len(reply) > 1100 {
 		t.Errorf("a reply takes %d bytes", len(reply))
@@ -426,7 +520,7 @@
 
 func BenchmarkOthers(b *testing.B) {
 	now := crlclock.Instant(time.Hour)
-	table, _ := loadedTable(&now)
+	_, table, _ := newLoadedTables(&now)
 	server := testServer(3)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -437,8 +531,7 @@
 // BenchmarkExchange measures one call of a follower at both ends, for 140 servers.
 func BenchmarkExchange(b *testing.B) {
 	now := crlclock.Instant(time.Hour)
-	table, _ := loadedTable(&now)
-	source, _ := loadedTable(&now)
+	source, table, _ := newLoadedTables(&now)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(callTime)
