Learn the costs of requests to model engines

Cause: the cost of a request is estimated with constants of present deployments (157,000 prompt tokens a second, 50 us a token), which are three times too low for engines that prefill 48,200 to 56,600 tokens a second, and time factors that change by 0.4% per observation. Change: package crlpace fits the time to the first event to the length of prompts and the time per token to the running requests, per service and model, and the speed per server. crlforward uses it in place of the constants; crlrouter constructs it. Routers don't exchange sums yet. Evidence: tests of crlforward pass. TestRatesAreRightAfterFiveSeconds fails in 4 of 27 cases: the model with 10 prompts a second in the whole fleet is wrong by 20 to 25%, with half of them waiting and half of the shared parts cached. Work on that goes on.

--- a/crlforward/comparison.go
+++ b/crlforward/comparison.go
@@ -19,8 +19,8 @@
 	minWaitFactor = 3
 )
 
-// comparison measures the answer of one send for the comparison of versions in a roll-out. Its methods do nothing if the service has
-// no roll-out.
+// comparison measures the answer of one send for the comparison of versions in a roll-out, and its events for the learned costs of
+// requests. Without a roll-out of the service, it does only the latter.
 type comparison struct {
 	service    *Service
 	exchange   *exchange
@@ -31,11 +31,12 @@
 	sentAt     time.Time
 	firstEvent time.Time
 	lastEvent  time.Time
+	pace       paceSample
 }
 
 // newComparison returns the comparison of a send.
 func (s *Service) newComparison(x *exchange, pick *crlfleet.Pick, plan *modelPlan, sentAt time.Time) *comparison {
-	c := &comparison{service: s, exchange: x, pick: pick, sentAt: sentAt}
+	c := &comparison{service: s, exchange: x, pick: pick, sentAt: sentAt, pace: s.newPaceSample(x, pick, plan, sentAt)}
 	if x.rolloutPlan.Target != "" {
 		c.class = crlrollout.Class(strings.Join([]string{string(x.route.Name), string(plan.model())}, " "))
 	}
@@ -59,8 +60,11 @@
 	}
 }
 
-// countEvent records that an event of the stream arrived.
-func (c *comparison) countEvent() {
+// countEvent records that an event of the stream arrived, or the rest of the stream after its last complete event.
+func (c *comparison) countEvent(complete bool) {
+	if complete {
+		c.pace.countEvent()
+	}
 	if c.events > paceEvents {
 		return
 	}
@@ -73,6 +77,12 @@
 	}
 }
 
+// endStream records the pace of a stream that has ended.
+func (c *comparison) endStream() {
+	c.recordPace()
+	c.pace.end()
+}
+
 // recordPace records the mean time between the events so far, once.
 func (c *comparison) recordPace() {
 	if c.events < 2 || c.events > paceEvents {
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -201,15 +201,14 @@
 	onTarget := x.rolloutPlan.Prefers(xxhash.Sum64String(string(key.session)), x.lastVersion) ||
 		x.rolloutPlan.LastStep && !x.route.Repeatable()
 	pinned := x.rolloutPlan.PinSessions && x.lastVersion != ""
-	factor := s.timeFactors.factor(plan.model(), plan.models)
-	cost := x.estimate(factor)
+	cost := s.estimate(x, plan.model(), plan)
 	var few map[crlid.Version]int
 	if x.rolloutPlan.TargetServers > 0 {
 		few = map[crlid.Version]int{x.rolloutPlan.Target: x.rolloutPlan.TargetServers}
 	}
 	return s.config.Fleet.Pick(crlfleet.Need{
 		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, FewServers: few,
-		Work: cost.workSeconds, WorkAfter: cost.decodeSeconds, ExpectedFirstByte: cost.firstByte, Affinity: x.affinity(factor),
+		Work: cost.workSeconds, WorkAfter: cost.decodeSeconds, ExpectedFirstByte: cost.firstByte, Affinity: s.affinity(x, plan.model(), plan),
 		Allows: func(v crlid.Version) bool {
 			return x.rolloutPlan.Allows(v) && (!pinned || v == x.lastVersion || v != x.rolloutPlan.Target)
 		},
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -36,7 +36,7 @@
 	}
 	events, stop := newEventReader(response)
 	defer stop()
-	defer comparison.recordPace()
+	defer comparison.endStream()
 	fresh := !x.stream.started // no earlier send has given the caller part of the answer
 	controller := http.NewResponseController(x.writer)
 	for {
@@ -50,7 +50,7 @@
 		if events.count == 1 && err == nil {
 			s.recordStart(x, x.sharedParts())
 		}
-		comparison.countEvent()
+		comparison.countEvent(err == nil)
 		id, numbered := eventID(event)
 		if numbered && id <= x.stream.lastEvent {
 			if err != nil {
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -64,7 +64,7 @@
 }
 
 // send sends the request to one server and relays the answer unless the request should be sent again. It reports the outcome
-// to the fleet, the roll-outs and the time factors.
+// to the fleet and the roll-outs.
 func (s *Service) send(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -112,7 +112,6 @@
 	} else {
 		v, result.Outcome = s.relayPlain(ctx, x, pick, response, head)
 	}
-	s.timeFactors.observe(plan.model(), x.head.PromptTokens, result.FirstByte)
 	comparison.recordOutcome(result)
 	return v
 }
@@ -339,8 +338,7 @@
 		head.Confidence == NoConfidence || head.Confidence >= escalateBelowConfidence {
 		return false
 	}
-	factor := s.timeFactors.factor(plan.largest(), plan.models)
-	expected := x.estimate(factor).firstByte + s.config.Fleet.ExpectedWait(x.service.Name)
+	expected := s.estimate(x, plan.largest(), plan).firstByte + s.config.Fleet.ExpectedWait(x.service.Name)
 	if x.route.Objective > 0 && time.Since(x.arrived)+expected > time.Duration(objectiveFraction*float64(x.route.Objective)) {
 		return false
 	}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -16,6 +16,7 @@
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpace"
 	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
 	"github.com/cranberrylock/cranberrylock/crlroute"
@@ -36,6 +37,7 @@
 	Rollouts           *crlrollout.Tracker
 	Quarantine         *crlquarantine.Registry // what crashes servers; nil for one that only this Service feeds
 	Retries            *crlbudget.RetryBudget
+	Pace               *crlpace.Estimator // learns the costs of requests to model engines; nil for one that only this Service feeds
 	Transport          http.RoundTripper
 	Probe              Probe         // checks unresponsive servers; nil opens a TCP connection
 	Domain             crlid.Domain  // failure domain of this daemon
@@ -55,7 +57,6 @@
 type Service struct {
 	config       Config
 	sessions     *sessions
-	timeFactors  *timeFactors
 	probes       *probes
 	reachability *reachability
 	handovers    *handovers
@@ -72,8 +73,11 @@
 	if config.Quarantine == nil {
 		config.Quarantine = crlquarantine.New(crlquarantine.Config{Now: config.Now})
 	}
+	if config.Pace == nil {
+		config.Pace = crlpace.New(crlpace.Config{Self: crlid.NewIncarnation(), Now: config.Now})
+	}
 	s := &Service{
-		config: config, sessions: newSessions(config.SessionTimeout), timeFactors: newTimeFactors(), probes: newProbes(config.Probe),
+		config: config, sessions: newSessions(config.SessionTimeout), probes: newProbes(config.Probe),
 		handovers: newHandovers(config.Now),
 	}
 	s.reachability = &reachability{
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpace"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
 	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlrelay"
@@ -69,6 +70,7 @@
 	members    *membership
 	follower   *crlrelay.Follower
 	evidence   *evidenceExchange
+	pace       *crlpace.Estimator
 	quarantine *quarantineLedger
 	replicas   map[crlrelay.Topic]*crlrelay.Replica
 	fleet      *crlfleet.Fleet
@@ -100,6 +102,7 @@
 		ExposureSlack: s.Bounds.ExposureSlack,
 	})
 	r.evidence = newEvidenceExchange(rollouts, config.Clock, config.Logger)
+	r.pace = crlpace.New(crlpace.Config{Self: r.incarnation, Now: config.Clock})
 	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
 		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
 		Replicas: r.replicas, ApplyOrder: topicApplyOrder, Peers: config.Peers, Now: config.Clock, Log: config.Logger,
@@ -144,7 +147,7 @@
 		Retries: crlbudget.NewRetryBudget(crlbudget.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Share: r.members.share,
 		}),
-		Transport: config.Transport, Probe: config.Probe, Log: config.Logger, Metrics: crlforward.NewMetrics(r.registry),
+		Transport: config.Transport, Pace: r.pace, Probe: config.Probe, Log: config.Logger, Metrics: crlforward.NewMetrics(r.registry),
 		Now: config.Clock, MaxConfirmationAge: confirmationAge, MaxDenialAge: s.Bounds.configuration(), SessionTimeout: s.Bounds.SessionTimeout,
 		// Open requests may use half of the memory limit.
 		MaxOpenRequests: max(int(float64(s.MemoryBytes)*memoryLimitFraction/2/requestMemoryBytes), minOpenRequests),
