--- a/crlforward/admission.go
+++ b/crlforward/admission.go
@@ -70,7 +70,7 @@
 
 // admissionRequest describes a request for the decision on its admission.
 func (s *Service) admissionRequest(x *exchange, plan *modelPlan) crladmission.Request {
-	cost := x.estimate(s.timeFactors.factor(plan.model(), plan.models))
+	cost := s.estimate(x, plan.model(), plan)
 	_, servers := s.config.Fleet.Capacity(x.service.Name, "")
 	return crladmission.Request{
 		Service: x.service.Name, Organisation: x.caller.Name, ID: xxhash.Sum64String(string(x.head.Request)), Rank: x.priority(),
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpace"
 	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
 	"github.com/cranberrylock/cranberrylock/crlroute"
@@ -37,6 +38,7 @@
 	Rollouts           *crlrollout.Tracker
 	Quarantine         *crlquarantine.Registry // what crashes servers; nil for one that only this Service feeds
 	Retries            *crlbudget.RetryBudget
+	Pace               *crlpace.Estimator // learns the costs of requests to model engines; nil for one that only this Service feeds
 	Transport          http.RoundTripper
 	Probe              Probe         // checks unresponsive servers; nil opens a TCP connection
 	Domain             crlid.Domain  // failure domain of this daemon
@@ -56,7 +58,6 @@
 type Service struct {
 	config       Config
 	sessions     *sessions
-	timeFactors  *timeFactors
 	probes       *probes
 	reachability *reachability
 	handovers    *handovers
@@ -74,8 +75,11 @@
 	if config.Quarantine == nil {
 		config.Quarantine = crlquarantine.New(crlquarantine.Config{Now: config.Now})
 	}
+	if config.Pace == nil {
+		config.Pace = crlpace.New(crlpace.Config{Self: crlid.NewIncarnation(), Now: config.Now})
+	}
 	s := &Service{
-		config: config, sessions: newSessions(config.SessionTimeout), timeFactors: newTimeFactors(), probes: newProbes(config.Probe),
+		config: config, sessions: newSessions(config.SessionTimeout), probes: newProbes(config.Probe),
 		handovers: newHandovers(config.Now), admission: crladmission.New(),
 	}
 	s.reachability = &reachability{
--- a/crlrouter/exchanges.go
+++ b/crlrouter/exchanges.go
@@ -22,6 +22,7 @@
 	// exchangeRollouts is the only member of the messages of earlier versions, which ignore all others.
 	exchangeRollouts exchangeName = "rollouts"
 	exchangeLoad     exchangeName = "load"
+	exchangePace     exchangeName = "pace"
 )
 
 // namedExchange is one of the exchanges that share the calls between routers.
@@ -51,7 +52,8 @@
 		Rank: r.rank, Now: r.config.Clock,
 	})
 	evidence := newEvidenceExchange(rollouts, r.config.Clock, r.config.Logger)
-	return workload, newExchanges(r.config.Logger, namedExchange{exchangeRollouts, evidence}, namedExchange{exchangeLoad, workload})
+	return workload, newExchanges(r.config.Logger, namedExchange{exchangeRollouts, evidence}, namedExchange{exchangeLoad, workload},
+		namedExchange{exchangePace, r.pace})
 }
 
 // rank returns the place of this router in the roster, from 1, and 0 if it isn't listed. Sources come before their followers in a roster, unless
