Test that the load of engines needs no other calls

Cause: nothing bounded the calls between routers and to the store that the exchange of load adds. Change: a test counts both for 6 routers over 20 s.

--- a/crlrouter/exchanges_test.go
+++ b/crlrouter/exchanges_test.go
@@ -1,10 +1,12 @@
 package crlrouter
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -95,25 +97,85 @@
 	}
 }
 
+// configureEngines makes service s one of model engines at all routers.
+func configureEngines(routers []*Router) {
+	for _, r := range routers {
+		current := *r.orders.current.Load()
+		current.table = crlroute.NewTable(crlroute.TableConfig{Services: []crlroute.Service{{Name: "s", Slots: 8}}})
+		r.orders.current.Store(&current)
+	}
+}
+
+// engineNeed returns the need of a request to a model engine.
+func engineNeed() crlfleet.Need {
+	all := func(crlid.Version) bool { return true }
+	return crlfleet.Need{Service: "s", Allows: all, Prefers: all, Work: 0.1, Engine: true, Tokens: 1000, MemoryTokens: 100_000}
+}
+
+// TestLoadTravelsInExistingCalls guards against exchanges that make routers call each other or the store more often. Only the second reader may call the
+// first: every two seconds without load, and at most twice a second with it.
+func TestLoadTravelsInExistingCalls(t *testing.T) {
+	const length = 20 * time.Second
+	measure := func(engines, load bool) (calls, reads int) {
+		synctest.Test(t, func(t *testing.T) {
+			store := newMemoryStore()
+			store.put("orders", "config", "1")
+			store.put("servers", "engine", "v1")
+			ctx, cancel := context.WithCancel(t.Context())
+			c := newCluster(store)
+			var routers []*Router
+			for n := range 6 {
+				routers = append(routers, c.start(ctx, n))
+			}
+			time.Sleep(20 * time.Second)
+			if engines {
+				configureEngines(routers)
+			}
+			if load {
+				if _, err := routers[0].fleet.Pick(engineNeed()); err != nil {
+					t.Error(err)
+				}
+			}
+			time.Sleep(2 * time.Second)
+			callsBefore, readsBefore := int(c.network.calls.Load()), store.readCount()
+			time.Sleep(length)
+			calls, reads = int(c.network.calls.Load())-callsBefore, store.readCount()-readsBefore
+			cancel()
+			time.Sleep(10 * time.Second)
+		})
+		return calls, reads
+	}
+	calls, reads := measure(false, false)
+	for _, test := range []struct {
+		name     string
+		load     bool
+		maxCalls int
+	}{{"idle", false, int(length/(2*time.Second)) + 2}, {"loaded", true, int(length/(500*time.Millisecond)) + 2}} {
+		gotCalls, gotReads := measure(true, test.load)
+		t.Logf("%s: %d calls between routers and %d reads of the store in %s, %d and %d without engines", test.name, gotCalls, gotReads, length, calls, reads)
+		if gotCalls > calls+test.maxCalls {
+			t.Errorf("%s: %d calls between routers in %s, want at most %d more than the %d without engines", test.name, gotCalls, length, test.maxCalls, calls)
+		}
+		// Reads vary by 2 in 100 between runs, as readers pause for random times.
+		if gotReads > reads+reads/20 {
+			t.Errorf("%s: %d reads of the store in %s, want the %d that there are without engines", test.name, gotReads, length, reads)
+		}
+	}
+}
+
 // TestRoutersKnowEachOthersLoad guards against load that doesn't reach the other routers over the calls that they make anyway, among them the
 // followers of the other reader. While the store is away, routers change their sources all the time, so that the sums are less exact.
 func TestRoutersKnowEachOthersLoad(t *testing.T) {
 	for _, down := range []bool{false, true} {
 		t.Run(fmt.Sprintf("store down %v", down), func(t *testing.T) {
 			runCluster(t, 6, func(store *memoryStore, routers []*Router) {
-				for _, r := range routers {
-					current := *r.orders.current.Load()
-					current.table = crlroute.NewTable(crlroute.TableConfig{Services: []crlroute.Service{{Name: "s", Slots: 8}}})
-					r.orders.current.Store(&current)
-				}
+				configureEngines(routers)
 				store.put("servers", "engine", "v1")
 				time.Sleep(2 * time.Second)
 				store.setDown(down)
-				all := func(crlid.Version) bool { return true }
-				need := crlfleet.Need{Service: "s", Allows: all, Prefers: all, Work: 0.1, Engine: true, Tokens: 1000, MemoryTokens: 100_000}
 				var picks []*crlfleet.Pick
 				for _, r := range routers {
-					p, err := r.fleet.Pick(need)
+					p, err := r.fleet.Pick(engineNeed())
 					if err != nil {
 						t.Fatal(err)
 					}
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,9 +86,11 @@
 type peerNetwork struct {
 	mu      sync.Mutex
 	servers map[string]*crlrelay.Server
+	calls   atomic.Int64
 }
 
 func (p *peerNetwork) Call(ctx context.Context, address string, _ crlpeer.Method, params, result any) error {
+	p.calls.Add(1)
 	p.mu.Lock()
 	server, ok := p.servers[address]
 	p.mu.Unlock()
