End answers whose callers don't read, and bound what is held for callers

A caller that stopped reading kept its request open without limit, with the connection to its server and up to 1 MB of a held answer. Many of them exceeded the memory of a daemon.

A write without progress for 5 s now fails and the connection is reset, so that a stream is aborted and the kernel drops what it held. Held plain answers count against a limit of the daemon, a quarter of the runtime's memory limit; beyond it, answers are relayed as they arrive. Requests that routers hand over are bounded in the same way.

--- a/crlconn/conn.go
+++ b/crlconn/conn.go
@@ -28,6 +28,9 @@
 	answers    int        // requests that were answered
 	readFailed bool       // whether a read failed, as it does once the caller has closed the connection
 
+	writeDeadline time.Time // write deadline that the server set
+	stalled       bool      // whether a write failed because the caller doesn't read
+
 	readDeadline time.Time // read deadline that the server set
 	interrupted  bool      // whether interruptDeadline is in force instead of readDeadline
 }
@@ -167,17 +170,102 @@
 	return err == nil && unread
 }
 
-// Write writes bytes of an answer.
+// ErrStalled is the error of a write to a caller that doesn't read.
+var ErrStalled = errors.New("write to the caller made no progress")
+
+// Write writes bytes of an answer. It takes as long as the caller goes on reading, and fails with ErrStalled if nothing could be written for
+// Config.StallTimeout.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	if c.isStalled() {
+		return 0, ErrStalled
+	}
+	progressAt := time.Now()
+	for written := 0; ; {
+		if err := c.extendWriteDeadline(); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		c.recordWritten(n)
+		if err == nil || !isTimeout(err) || !c.stallEnds() {
+			return written, err
+		}
+		if n > 0 {
+			progressAt = time.Now()
+		} else if time.Since(progressAt) >= c.tracker.config.StallTimeout {
+			return written, c.abortStalled()
+		}
+	}
+}
+
+// stallSteps is the number of writes into which the time of a stall is divided. A write doesn't tell when it made progress, so that a
+// stall is found up to one part later.
+const stallSteps = 5
+
+// extendWriteDeadline gives the next write a part of the time of a stall, or the time until the deadline that the server set.
+func (c *conn) extendWriteDeadline() error {
+	timeout := c.tracker.config.StallTimeout
+	if timeout == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := time.Now().Add(timeout / stallSteps)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+		deadline = c.writeDeadline
+	}
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// stallEnds reports whether a write that timed out did so because of the time of a stall, not of the deadline that the server set.
+func (c *conn) stallEnds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.config.StallTimeout > 0 && (c.writeDeadline.IsZero() || c.writeDeadline.After(time.Now()))
+}
+
+func (c *conn) isStalled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stalled
+}
+
+func (c *conn) recordWritten(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written += int64(n)
-	return n, err
+}
+
+// abortStalled marks the connection stalled and reports it. What the kernel holds for the caller is dropped with a reset when the connection is
+// closed.
+func (c *conn) abortStalled() error {
+	c.mu.Lock()
+	c.stalled = true
+	report := Stalled{Remote: c.RemoteAddr().String(), Age: time.Since(c.acceptedAt), WrittenBytes: c.written}
+	c.mu.Unlock()
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// Without it, the kernel would keep the rest of the answer for the caller for minutes.
+		_ = socket.SetLinger(0)
+	}
+	if c.tracker.config.OnStalled != nil {
+		c.tracker.config.OnStalled(report)
+	}
+	return ErrStalled
+}
+
+// SetWriteDeadline sets the write deadline.
+func (c *conn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = deadline
+	return c.Conn.SetWriteDeadline(deadline)
 }
 
 // CloseWrite closes the sending side, as net/http does before it waits for the caller to close an aborted connection.
 func (c *conn) CloseWrite() error {
+	if c.isStalled() {
+		return c.Conn.Close() // A half-closed connection would still wait for the caller to read.
+	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
 		return errors.ErrUnsupported
--- a/crlconn/tracker.go
+++ b/crlconn/tracker.go
@@ -26,6 +26,17 @@
 // Config configures a Tracker.
 type Config struct {
 	OnUnanswered func(Closed) // called for each connection that is closed without an answer to a request; nil for none
+	// StallTimeout is the time after which a write fails that makes no progress, because the caller doesn't read; 0 for no limit. The connection
+	// is then reset, so that the caller can't take the answer for complete.
+	StallTimeout time.Duration
+	OnStalled    func(Stalled) // called for each connection whose write fails for that reason; nil for none
+}
+
+// Stalled describes a connection whose caller doesn't read its answer.
+type Stalled struct {
+	Remote       string        // address of the caller
+	Age          time.Duration // time since the connection was accepted
+	WrittenBytes int64         // bytes of the answer that were written
 }
 
 // Tracker tracks the connections of one http.Server. It is safe for concurrent use.
--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -203,7 +202,7 @@
 		x.trace.cause = "backend server did not go on with the stream"
 		return s.retryVerdict(x)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeldReplyBytes+1))
+	body, complete, err := s.readHeld(x, response.Body)
 	if err != nil {
 		if endedLocally(ctx) {
 			return verdictFinal
@@ -216,7 +215,7 @@
 	}
 	answer := &reply{status: response.StatusCode, header: response.Header, body: body}
 	x.trace.status = answer.status
-	if len(body) > maxHeldReplyBytes {
+	if !complete {
 		v, _ := s.relayOversized(x, answer, response)
 		return v
 	}
--- /dev/null
+++ b/crlforward/held.go
@@ -0,0 +1,58 @@
+package crlforward
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync/atomic"
+)
+
+// freeHeldBytes is the part of each plain answer that is held without being counted. It fits into the memory that is reckoned for an open
+// request.
+const freeHeldBytes = 16 << 10
+
+// heldBytes counts the bytes of plain answers that are held for callers, beyond freeHeldBytes of each.
+type heldBytes struct {
+	limit int64 // 0 for none
+	used  atomic.Int64
+}
+
+// take counts n more bytes, unless they would exceed the limit.
+func (h *heldBytes) take(n int64) bool {
+	if h.used.Add(n) > h.limit && h.limit > 0 {
+		h.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// readHeld reads a plain answer into memory, up to maxHeldReplyBytes or what is left of Config.MaxHeldBytes. complete reports whether it ends there.
+// What is read counts until the end of the request, as its caller may read it slowly.
+func (s *Service) readHeld(x *exchange, body io.Reader) (content []byte, complete bool, err error) {
+	content = make([]byte, 0, bytes.MinRead)
+	for {
+		if len(content) == cap(content) {
+			larger := min(2*cap(content), maxHeldReplyBytes+1)
+			more := int64(max(larger, freeHeldBytes) - max(cap(content), freeHeldBytes))
+			if len(content) > maxHeldReplyBytes || !s.held.take(more) {
+				return content, false, nil
+			}
+			x.heldBytes += more
+			content = append(make([]byte, 0, larger), content...)
+		}
+		n, err := body.Read(content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		if errors.Is(err, io.EOF) {
+			return content, true, nil
+		}
+		if err != nil {
+			return content, false, err
+		}
+	}
+}
+
+// releaseHeld ends the count of what was held for a request.
+func (s *Service) releaseHeld(x *exchange) {
+	s.held.used.Add(-x.heldBytes)
+	x.heldBytes = 0
+}
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -70,7 +70,7 @@
 		}
 		if len(event) > 0 {
 			if _, writeErr := x.writer.Write(event); writeErr != nil {
-				return verdictFinal, crlfleet.OutcomeNeutral
+				return x.callerFailed(writeErr)
 			}
 			if numbered {
 				x.stream.lastEvent = id
@@ -80,11 +80,17 @@
 			return verdictAnswered, crlfleet.OutcomeAnswered
 		}
 		if flushErr := controller.Flush(); flushErr != nil {
-			return verdictFinal, crlfleet.OutcomeNeutral
+			return x.callerFailed(flushErr)
 		}
 	}
 }
 
+// callerFailed ends a request whose caller can't be written to.
+func (x *exchange) callerFailed(err error) (verdict, crlfleet.Outcome) {
+	x.trace.cause = err.Error()
+	return verdictFinal, crlfleet.OutcomeNeutral
+}
+
 // escalate drops the answer of a smaller model, except for what may serve in place of the larger one's.
 func (s *Service) escalate(
 	ctx context.Context, x *exchange, pick *crlfleet.Pick, response *http.Response, head AnswerHead,
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -292,7 +292,7 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		defer time.AfterFunc(completeTimeout, func() { _ = response.Body.Close() }).Stop()
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeldReplyBytes+1))
+	body, complete, err := s.readHeld(x, response.Body)
 	if err != nil {
 		if endedLocally(ctx) {
 			return verdictFinal, crlfleet.OutcomeNeutral
@@ -313,7 +313,7 @@
 	if x.route.Kind != crlroute.KindStream {
 		s.recordStart(x, nil)
 	}
-	if len(body) > maxHeldReplyBytes {
+	if !complete {
 		return s.relayOversized(x, answer, response)
 	}
 	answer.write(x.writer)
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -50,6 +50,9 @@
 	MaxDenialAge    time.Duration
 	SessionTimeout  time.Duration // time without a request after which a session has ended
 	MaxOpenRequests int           // limit of requests being handled, above which further ones are refused
+	// MaxHeldBytes limits what is held of plain answers for all callers together; 0 for no limit. An answer that exceeds it is relayed as it
+	// arrives, so that it can't be replaced by another server's.
+	MaxHeldBytes int64
 }
 
 // Service forwards requests to backend servers. It is an http.Handler.
@@ -61,6 +64,7 @@
 	reachability *reachability
 	handovers    *handovers
 	admission    *crladmission.Controller
+	held         heldBytes
 	openRequests atomic.Int64
 	lastArrival  atomic.Int64 // time of the newest request, in nanoseconds since the Unix epoch
 	draining     atomic.Bool
@@ -76,7 +80,7 @@
 	}
 	s := &Service{
 		config: config, sessions: newSessions(config.SessionTimeout), timeFactors: newTimeFactors(), probes: newProbes(config.Probe),
-		handovers: newHandovers(config.Now), admission: crladmission.New(),
+		handovers: newHandovers(config.Now), admission: crladmission.New(), held: heldBytes{limit: config.MaxHeldBytes},
 	}
 	s.reachability = &reachability{
 		now: config.Now, addresses: config.Fleet.Addresses, probe: s.probes.probe, log: config.Log, failed: make(map[string]bool),
@@ -152,6 +156,7 @@
 	fallback      *reply                  // complete answer of a smaller model, sent if the larger model does not answer
 	fallbackTimer *time.Timer             // ends a send in time for the fallback; nil without one
 	admission     admission
+	heldBytes     int64 // counted in Service.held
 	stream        stream
 	trace         trace
 }
@@ -172,6 +177,7 @@
 	s.lastArrival.Store(x.arrived.UnixNano())
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
+	defer s.releaseHeld(x)
 	if s.closed.Load() {
 		s.refuse(x, unavailable(ReasonDraining, drainingRetryAfter))
 		return
--- a/crlrouter/callers.go
+++ b/crlrouter/callers.go
@@ -28,6 +28,9 @@
 	// are better off if it restarts.
 	maxRefuseDuration = time.Second
 	drainPollInterval = 20 * time.Millisecond
+	// callerStallTimeout is the time without progress after which an answer is aborted whose caller doesn't read it. Callers take a stream for
+	// broken after a pause of 2 s or more, and a saturated link with lost packets recovers sooner.
+	callerStallTimeout = 5 * time.Second
 )
 
 // callerServer serves callers' requests.
@@ -41,7 +44,7 @@
 
 func (r *Router) newCallerServer(listener net.Listener) *callerServer {
 	s := &callerServer{router: r, http: &http.Server{Handler: r.service}}
-	s.connections = crlconn.New(crlconn.Config{OnUnanswered: r.logUnanswered}, s.http)
+	s.connections = crlconn.New(crlconn.Config{OnUnanswered: r.logUnanswered, StallTimeout: callerStallTimeout, OnStalled: r.logStalled}, s.http)
 	s.listener = s.connections.Listener(listener)
 	return s
 }
@@ -116,6 +119,12 @@
 }
 
 // logUnanswered logs that a caller's connection was closed without an answer to its request.
+// logStalled logs a connection whose answer was aborted because its caller doesn't read it.
+func (r *Router) logStalled(c crlconn.Stalled) {
+	r.config.Logger.Event(EventStalled, slog.String("caller", c.Remote), slog.Duration("connection-age-ms", c.Age),
+		slog.Int64("sent-bytes", c.WrittenBytes))
+}
+
 func (r *Router) logUnanswered(c crlconn.Closed) {
 	r.config.Logger.Event(EventUnanswered, slog.String("caller", c.Remote), slog.Bool("draining", r.service.Draining()),
 		slog.Duration("connection-age-ms", c.Age), slog.Int("connection-answers", c.Answers),
--- a/crlrouter/handover.go
+++ b/crlrouter/handover.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 
+	"github.com/cranberrylock/cranberrylock/crlconn"
 	"github.com/cranberrylock/cranberrylock/crlforward"
 )
 
@@ -38,7 +39,8 @@
 		return fmt.Errorf("listen for requests that other routers hand over: %w", err)
 	}
 	server := r.newHandoverServer()
-	group.Add(func() error { return server.Serve(listener) }, func(error) {
+	connections := crlconn.New(crlconn.Config{StallTimeout: callerStallTimeout, OnStalled: r.logStalled}, server)
+	group.Add(func() error { return server.Serve(connections.Listener(listener)) }, func(error) {
 		// What the drain has answered may still be on its way.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(taskCtx), shutdownMargin/2)
 		defer cancel()
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -148,6 +148,7 @@
 		Now: config.Clock, MaxConfirmationAge: confirmationAge, MaxDenialAge: s.Bounds.configuration(), SessionTimeout: s.Bounds.SessionTimeout,
 		// Open requests may use half of the memory limit.
 		MaxOpenRequests: max(int(float64(s.MemoryBytes)*memoryLimitFraction/2/requestMemoryBytes), minOpenRequests),
+		MaxHeldBytes:    max(int64(float64(s.MemoryBytes)*memoryLimitFraction/4), minHeldBytes),
 	})
 	r.registry.MustRegister(r.gauges()...)
 	return r
@@ -217,6 +218,7 @@
 
 const (
 	defaultConfirmationAge = time.Minute // longest accepted age of a confirmation in deployments without a bound on revocation
+	minHeldBytes           = 16 << 20    // lower bound of MaxHeldBytes, for the same settings
 	minOpenRequests        = 64          // lower bound of MaxOpenRequests, for settings that state little or no memory
 )
 
@@ -246,6 +248,8 @@
 	EventAbort  crllog.Event = "abort" // logged when the grace time ends with open requests
 	// EventUnanswered is logged when the router closes a connection after a request has begun to arrive, without an answer.
 	EventUnanswered crllog.Event = "unanswered"
+	// EventStalled is logged when the router aborts an answer because its caller doesn't read it.
+	EventStalled crllog.Event = "caller-stalled"
 )
 
 // Run serves until ctx ends or a task fails, and then drains open requests. It returns nil after a drain that the end of ctx
