Count the servers of a service only when it matters for admission

A decision needs the number of servers only if requests were late at a single one.

Evidence: go test ./crladmission ./crlforward passes; TestOnlyServerIsEvidenceEnough checks both counts.

--- a/crladmission/controller.go
+++ b/crladmission/controller.go
@@ -34,8 +34,16 @@
 	maxWaitFraction = 0.5
 )
 
+// Config configures a Controller.
+type Config struct {
+	// Servers returns the number of servers of a service that accept requests. It is called only if requests were late at a single one, with the
+	// Controller locked.
+	Servers func(crlid.Service) int
+}
+
 // Controller decides on requests. Create it with New.
 type Controller struct {
+	config   Config
 	mu       sync.Mutex // guards the fields below
 	services map[crlid.Service]*service
 	rejected map[uint64]crlclock.Instant // requests that were rejected, by Request.ID, and when
@@ -46,6 +54,7 @@
 
 // service is the state of one service.
 type service struct {
+	servers    func() int // counts the servers that accept requests
 	ranks      [Ranks]*observations
 	waiting    [Ranks]waitList // requests that were sent and whose answers have not begun
 	probeAt    [Ranks]crlclock.Instant
@@ -60,8 +69,8 @@
 }
 
 // New returns a controller without observations.
-func New() *Controller {
-	return &Controller{services: make(map[crlid.Service]*service), rejected: make(map[uint64]crlclock.Instant)}
+func New(config Config) *Controller {
+	return &Controller{config: config, services: make(map[crlid.Service]*service), rejected: make(map[uint64]crlclock.Instant)}
 }
 
 // service returns the state of a service, nil if too many have one.
@@ -74,7 +83,7 @@
 		if len(c.services) >= maxServices {
 			return nil
 		}
-		s = &service{shares: shares{accounts: make(map[crlid.Organisation]*account)}}
+		s = &service{servers: func() int { return c.config.Servers(name) }, shares: shares{accounts: make(map[crlid.Organisation]*account)}}
 		c.services[name] = s
 	}
 	s.seenAt = now
@@ -141,7 +150,7 @@
 	for rank := 0; rank <= r.Rank; rank++ {
 		e.collect(s.ranks[rank], now, criterion{age: evidenceAge, heaviest: r.Begin, left: left})
 	}
-	if e.Observations < minObservations || e.Late < e.Observations || !e.hasServers(r.Servers) {
+	if e.Observations < minObservations || e.Late < e.Observations || !e.hasServers(s.servers) {
 		return Decision{}, false
 	}
 	if now >= s.probeAt[r.Rank] {
@@ -188,7 +197,7 @@
 	switch {
 	case e.Observations == 0 || wait <= endFraction*objective && float64(e.Late) < lateShare*float64(e.Observations):
 		s.overloaded[r.Rank] = false
-	case wait > objective && e.Observations >= minOverload && float64(e.Late) >= lateShare*float64(e.Observations) && e.hasServers(r.Servers):
+	case wait > objective && e.Observations >= minOverload && float64(e.Late) >= lateShare*float64(e.Observations) && e.hasServers(s.servers):
 		s.overloaded[r.Rank] = true
 	}
 	return e.Evidence, s.overloaded[r.Rank]
@@ -209,7 +218,7 @@
 		2*wait > r.Left {
 		return Decision{}
 	}
-	e, pressed := s.urgentLate(r.Rank, r.Servers, now)
+	e, pressed := s.urgentLate(r.Rank, now)
 	if !pressed {
 		return Decision{}
 	}
@@ -217,26 +226,26 @@
 }
 
 // urgentLate reports whether requests that are more urgent than a rank wait for more than urgentFraction of their objective.
-func (s *service) urgentLate(rank, servers int, now crlclock.Instant) (Evidence, bool) {
+func (s *service) urgentLate(rank int, now crlclock.Instant) (Evidence, bool) {
 	var e evidence
 	c := criterion{age: evidenceAge, fraction: urgentFraction}
 	for i := range rank {
 		e.collect(s.ranks[i], now, c)
 		e.collectWaiting(&s.waiting[i], now, c)
 	}
-	return e.Evidence, e.Observations >= minUrgent && float64(e.Late) >= urgentLateShare*float64(e.Observations) && e.hasServers(servers)
+	return e.Evidence, e.Observations >= minUrgent && float64(e.Late) >= urgentLateShare*float64(e.Observations) && e.hasServers(s.servers)
 }
 
 // AllowsLarger reports whether a larger model may be used for a request of a rank: not while more urgent requests of the service wait for
-// more than half of their objective. servers is the number of servers of the service.
-func (c *Controller) AllowsLarger(name crlid.Service, rank, servers int, now crlclock.Instant) bool {
+// more than half of their objective.
+func (c *Controller) AllowsLarger(name crlid.Service, rank int, now crlclock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.services[name]
 	if s == nil {
 		return true
 	}
-	_, late := s.urgentLate(clampRank(rank), servers, now)
+	_, late := s.urgentLate(clampRank(rank), now)
 	return !late
 }
 
--- a/crladmission/controller_test.go
+++ b/crladmission/controller_test.go
@@ -79,9 +79,9 @@
 		{"none was served", several(6, served{rank: 1, wait: 8 * time.Second, unserved: true}, "a", "b"), 0, 1, 8 * time.Second, true},
 		{"none was served, but they had less time", several(6, served{rank: 1, wait: 5 * time.Second, unserved: true}, "a", "b"), 0, 1, 8 * time.Second, false},
 	} {
-		c := New()
+		c := New(Config{Servers: func(crlid.Service) int { return 4 }})
 		now := observe(c, 2*time.Second, tc.earlier...).Add(tc.age)
-		r := Request{Service: "s", Rank: tc.rank, Begin: 0.1, Cost: 0.1, Objective: 2 * time.Second, Left: tc.left, Servers: 4}
+		r := Request{Service: "s", Rank: tc.rank, Begin: 0.1, Cost: 0.1, Objective: 2 * time.Second, Left: tc.left}
 		if first := c.Decide(r, 0, now); first.Action != ActionSend {
 			t.Errorf("%s: the first request, which is a probe, got %v", tc.name, first)
 		}
@@ -98,6 +98,19 @@
 	}
 }
 
+// TestOnlyServerIsEvidenceEnough guards against requests that wait until their deadline because the single server of a service is no evidence.
+func TestOnlyServerIsEvidenceEnough(t *testing.T) {
+	for servers, want := range map[int]Action{1: ActionReject, 2: ActionSend} {
+		c := New(Config{Servers: func(crlid.Service) int { return servers }})
+		now := observe(c, time.Second, several(6, served{wait: 9 * time.Second}, "a")...)
+		r := Request{Service: "s", Begin: 0.1, Cost: 0.1, Objective: time.Second, Left: 8 * time.Second}
+		c.Decide(r, 0, now) // a probe
+		if d := c.Decide(r, 0, now); d.Action != want {
+			t.Errorf("late at one of %d servers: got %+v", servers, d)
+		}
+	}
+}
+
 // TestLargerModelMakesRoomForUrgentRequests guards against larger models for patient requests while urgent ones wait, and against none at all
 // because of requests that are as patient, of one slow server or of a single late one.
 func TestLargerModelMakesRoomForUrgentRequests(t *testing.T) {
@@ -117,12 +130,12 @@
 		{"two observations", several(2, late, "a", "b"), 2, true},
 		{"as urgent itself", several(4, late, "a", "b"), 0, true},
 	} {
-		c := New()
+		c := New(Config{Servers: func(crlid.Service) int { return 4 }})
 		now := observe(c, time.Second, tc.earlier...)
-		if got := c.AllowsLarger("s", tc.rank, 4, now); got != tc.allowed {
+		if got := c.AllowsLarger("s", tc.rank, now); got != tc.allowed {
 			t.Errorf("%s: got %t", tc.name, got)
 		}
-		if !c.AllowsLarger("s", tc.rank, 4, now.Add(evidenceAge+time.Second)) || !c.AllowsLarger("other", tc.rank, 4, now) {
+		if !c.AllowsLarger("s", tc.rank, now.Add(evidenceAge+time.Second)) || !c.AllowsLarger("other", tc.rank, now) {
 			t.Errorf("%s: not allowed later, or for another service", tc.name)
 		}
 	}
@@ -131,12 +144,12 @@
 // TestWaitingUrgentRequestsCountBeforeTheyAreServed guards against larger models for patient requests while urgent ones are stuck, so that none of
 // them shows yet how long it waits.
 func TestWaitingUrgentRequestsCountBeforeTheyAreServed(t *testing.T) {
-	c := New()
+	c := New(Config{Servers: func(crlid.Service) int { return 4 }})
 	now := crlclock.Instant(time.Hour)
 	for i := range 4 {
 		c.RecordServer(begin(c, Request{Service: "s", Objective: time.Second}, now), crlid.Server(fmt.Sprint(i)))
 	}
-	if !c.AllowsLarger("s", 2, 4, now.Add(400*time.Millisecond)) || c.AllowsLarger("s", 2, 4, now.Add(600*time.Millisecond)) {
+	if !c.AllowsLarger("s", 2, now.Add(400*time.Millisecond)) || c.AllowsLarger("s", 2, now.Add(600*time.Millisecond)) {
 		t.Error("want a larger model until the urgent requests have waited for half of their objective")
 	}
 }
@@ -160,7 +173,7 @@
 		{"short objective", 2, 2, time.Second, 0, 0, 0, 0},
 		{"was held", 2, 2, 4 * time.Second, 0, 0, time.Second, 0},
 	} {
-		c := New()
+		c := New(Config{Servers: func(crlid.Service) int { return 4 }})
 		now := observe(c, time.Second, several(4, served{wait: 600 * time.Millisecond}, "a", "b")...)
 		for range tc.waiting {
 			begin(c, Request{Service: "s", Objective: time.Second}, now)
@@ -168,7 +181,7 @@
 		c.services["s"].begun[0] = meter{sum: 2 * meterTime.Seconds(), time: meterTime.Seconds(), at: now, began: true} // 2 per second
 		d := c.Decide(Request{
 			Service: "s", Rank: tc.rank, Begin: 0.1, Cost: 0.1, Objective: tc.objective, ExpectedWait: tc.expected, Elapsed: tc.elapsed,
-			Left: time.Minute, Servers: 4,
+			Left: time.Minute,
 		}, tc.held, now)
 		if (d.Action == ActionWait) != (tc.answer > 0) || (d.Wait-tc.answer).Abs() > time.Millisecond {
 			t.Errorf("%s: got %+v, want a wait of %s", tc.name, d, tc.answer)
@@ -179,7 +192,7 @@
 // TestCallersReturnByUrgency guards against callers who all return at once, and against patient or new ones that return before urgent ones or those
 // who were rejected before.
 func TestCallersReturnByUrgency(t *testing.T) {
-	c := New()
+	c := New(Config{Servers: func(crlid.Service) int { return 4 }})
 	now := crlclock.Instant(time.Hour)
 	for range 100 { // 10 a second
 		now = now.Add(100 * time.Millisecond)
@@ -207,7 +220,7 @@
 // TestRetryAfterIsWhatCallersHonour guards against times that callers ignore, whatever the events before.
 func TestRetryAfterIsWhatCallersHonour(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c, now := New(), crlclock.Instant(time.Hour)
+		c, now := New(Config{Servers: func(crlid.Service) int { return 4 }}), crlclock.Instant(time.Hour)
 		for range rapid.IntRange(0, 50).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2_000).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "arrival") {
@@ -228,13 +241,13 @@
 // ranks and rates.
 func TestNothingIsRejectedWhileServersAnswerAtOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c, now := New(), crlclock.Instant(time.Hour)
+		c, now := New(Config{Servers: func(crlid.Service) int { return 4 }}), crlclock.Instant(time.Hour)
 		for range rapid.IntRange(1, 300).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
 			r := Request{
 				Service: "s", Organisation: crlid.Organisation(rapid.SampledFrom([]string{"a", "a", "a", "b", ""}).Draw(t, "organisation")),
 				ID: rapid.Uint64().Draw(t, "id"), Rank: rapid.IntRange(0, 9).Draw(t, "rank"), Begin: 0.1, Cost: rapid.Float64Range(0.01, 2).Draw(t, "cost"),
-				Objective: time.Second, Left: 5 * time.Second, Servers: 4,
+				Objective: time.Second, Left: 5 * time.Second,
 			}
 			if d := c.Decide(r, 0, now); d.Action != ActionSend {
 				t.Fatalf("got %+v", d)
@@ -278,11 +291,11 @@
 
 // TestMemoryIsBounded guards against memory that grows with the number of organisations, services or rejected requests that were ever seen.
 func TestMemoryIsBounded(t *testing.T) {
-	c, now := New(), crlclock.Instant(time.Hour)
+	c, now := New(Config{Servers: func(crlid.Service) int { return 4 }}), crlclock.Instant(time.Hour)
 	for i := range 3 * maxReturned {
 		now = now.Add(time.Millisecond)
 		r := Request{
-			Service: crlid.Service(fmt.Sprint("s", i%(2*maxServices))), Organisation: crlid.Organisation(fmt.Sprint("o", i)), Left: time.Second, Servers: 1,
+			Service: crlid.Service(fmt.Sprint("s", i%(2*maxServices))), Organisation: crlid.Organisation(fmt.Sprint("o", i)), Left: time.Second,
 		}
 		c.Decide(r, 0, now)
 		r.Service = "s0"
@@ -301,7 +314,7 @@
 
 // TestTicketEndsOnce guards against a count of waiting requests that drifts when a request ends in two ways.
 func TestTicketEndsOnce(t *testing.T) {
-	c, now := New(), crlclock.Instant(time.Hour)
+	c, now := New(Config{Servers: func(crlid.Service) int { return 4 }}), crlclock.Instant(time.Hour)
 	var tickets []*Ticket
 	for range 3 {
 		tickets = append(tickets, begin(c, Request{Service: "s", Rank: 99}, now))
@@ -317,12 +330,12 @@
 
 // BenchmarkDecide measures a decision and the records of one request under overload, with 24 organisations and 1,000 waiting requests.
 func BenchmarkDecide(b *testing.B) {
-	c, now := New(), crlclock.Instant(time.Hour)
+	c, now := New(Config{Servers: func(crlid.Service) int { return 4 }}), crlclock.Instant(time.Hour)
 	var requests [24]Request
 	for i := range requests {
 		requests[i] = Request{
 			Service: "s", Organisation: crlid.Organisation(fmt.Sprint("o", i)), Rank: i % 3, Begin: 0.1, Cost: 0.1, Objective: time.Second,
-			Left: 5 * time.Second, Servers: 140,
+			Left: 5 * time.Second,
 		}
 	}
 	var waiting [1000]*Ticket
--- a/crladmission/evidence.go
+++ b/crladmission/evidence.go
@@ -149,9 +149,9 @@
 	}
 }
 
-// hasServers reports whether requests were late at several servers, or at the only one.
-func (e *evidence) hasServers(fleet int) bool {
-	return e.Servers >= min(minEvidenceServers, max(fleet, 1))
+// hasServers reports whether requests were late at several servers, or at the only one. servers counts those of the service.
+func (e *evidence) hasServers(servers func() int) bool {
+	return e.Servers >= minEvidenceServers || e.Servers == 1 && servers() == 1
 }
 
 // minEvidenceServers keeps one slow server from counting as an overload of its service.
--- a/crladmission/load_test.go
+++ b/crladmission/load_test.go
@@ -58,7 +58,7 @@
 		pending: make(map[time.Duration][]*caller), random: rand.New(rand.NewPCG(7, uint64(routers))), down: func(int, time.Duration) bool { return false },
 	}
 	for range routers {
-		s.routers = append(s.routers, New())
+		s.routers = append(s.routers, New(Config{Servers: func(crlid.Service) int { return servers }}))
 	}
 	return s
 }
@@ -96,7 +96,7 @@
 	c.router = s.routers[s.random.IntN(len(s.routers))]
 	c.request = Request{
 		Service: "draft", Organisation: crlid.Organisation(f.organisation), ID: c.id, Rank: f.rank, Begin: f.begin, Cost: f.begin,
-		Objective: f.objective, Elapsed: now - c.arrived, Left: f.deadline - (now - c.arrived), Servers: len(s.servers),
+		Objective: f.objective, Elapsed: now - c.arrived, Left: f.deadline - (now - c.arrived),
 	}
 	if c.request.Left <= 0 {
 		c.tally.refused++
--- a/crlforward/admission.go
+++ b/crlforward/admission.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crladmission"
 	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
 
@@ -23,6 +24,14 @@
 	smaller  bool // whether the larger model was ruled out for the sake of more urgent requests
 }
 
+// newAdmission returns the controller of a service's admission.
+func newAdmission(fleet *crlfleet.Fleet) *crladmission.Controller {
+	return crladmission.New(crladmission.Config{Servers: func(service crlid.Service) int {
+		_, servers := fleet.Capacity(service, "")
+		return servers
+	}})
+}
+
 // admits reports whether admission control applies to a request: to those of a model engine with a latency objective, which this router got
 // from the caller and which no server has been sent.
 func (x *exchange) admits() bool {
@@ -71,20 +80,14 @@
 // admissionRequest describes a request for the decision on its admission.
 func (s *Service) admissionRequest(x *exchange, plan *modelPlan) crladmission.Request {
 	cost := x.estimate(s.timeFactors.factor(plan.model(), plan.models))
-	_, servers := s.config.Fleet.Capacity(x.service.Name, "")
 	return crladmission.Request{
 		Service: x.service.Name, Organisation: x.caller.Name, ID: xxhash.Sum64String(string(x.head.Request)), Rank: x.priority(),
-		Begin: cost.firstByte.Seconds(), Cost: cost.workSeconds + cost.decodeSeconds, ExpectedWait: s.expectedWait(x),
-		Objective: x.route.Objective, Elapsed: time.Since(x.arrived), Left: time.Until(x.deadline), Servers: servers,
+		Begin: cost.firstByte.Seconds(), Cost: cost.workSeconds + cost.decodeSeconds, ExpectedWait: s.config.Fleet.ExpectedWait(x.service.Name),
+		Objective: x.route.Objective, Elapsed: time.Since(x.arrived), Left: time.Until(x.deadline),
 		InProgress: x.head.Resumes || x.head.Session != "" && s.sessions.version(x.sessionKey()) != "",
 	}
 }
 
-// expectedWait returns the time for which a request is expected to wait at the servers of its service.
-func (s *Service) expectedWait(x *exchange) time.Duration {
-	return s.config.Fleet.ExpectedWait(x.service.Name)
-}
-
 // beginSend counts a send of a request and records the server.
 func (s *Service) beginSend(x *exchange, server crlid.Server) {
 	x.sends++
@@ -117,8 +120,7 @@
 // allowsLargerModel reports whether a larger model may be used for a request: not while more urgent requests of its service wait for too
 // long.
 func (s *Service) allowsLargerModel(x *exchange) bool {
-	_, servers := s.config.Fleet.Capacity(x.service.Name, "")
-	allowed := s.admission.AllowsLarger(x.service.Name, x.priority(), servers, s.config.Now())
+	allowed := s.admission.AllowsLarger(x.service.Name, x.priority(), s.config.Now())
 	if !allowed {
 		x.admission.smaller = true
 		s.config.Metrics.countDecision("smaller-model")
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -80,7 +80,7 @@
 	}
 	s := &Service{
 		config: config, sessions: newSessions(config.SessionTimeout), timeFactors: newTimeFactors(), probes: newProbes(config.Probe),
-		handovers: newHandovers(config.Now), admission: crladmission.New(), held: heldBytes{limit: config.MaxHeldBytes},
+		handovers: newHandovers(config.Now), admission: newAdmission(config.Fleet), held: heldBytes{limit: config.MaxHeldBytes},
 	}
 	s.reachability = &reachability{
 		now: config.Now, addresses: config.Fleet.Addresses, probe: s.probes.probe, log: config.Log, failed: make(map[string]bool),
