--- a/crladmission/controller.go
+++ b/crladmission/controller.go
@@ -337,17 +337,17 @@
 		queue := time.Duration(min(float64(s.waitingUpTo(r.Rank))/rate, maxReturnSeconds) * float64(time.Second))
 		first = min(first, queue-r.Objective)
 	}
-	return s.returns.reserve(class(r.Rank, d.Returned), rate, max(first, minRetryAfter), r.Left, now)
+	return s.returns.reserve(class(r.Rank, d.Returned), overloadReturnShare*rate, max(first, minRetryAfter), r.Left, now)
 }
 
 // RetryAfter plans the return of a caller that is rejected before its service is known, for lack of a confirmed configuration. first is the
-// earliest time of a return; from then on callers return at a part of the rate at which requests came before.
+// earliest time of a return; from then on callers return at the rate at which requests came before.
 func (c *Controller) RetryAfter(id uint64, rank int, first, left time.Duration, now crlclock.Instant) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	returned := c.hasReturned(id, now)
 	c.remember(id, now)
-	return c.returns.reserve(class(clampRank(rank), returned), c.arrivals.lastRate(), max(first, minRetryAfter), left, now)
+	return c.returns.reserve(class(clampRank(rank), returned), outageReturnShare*c.arrivals.lastRate(), max(first, minRetryAfter), left, now)
 }
 
 // hasReturned reports whether a request was rejected lately.
--- a/crladmission/load_test.go
+++ b/crladmission/load_test.go
@@ -47,7 +47,9 @@
 	seconds  [][]tally // by flow and second of the first arrival
 	pending  map[time.Duration][]*caller
 	random   *rand.Rand
-	disabled bool // whether the routers send everything
+	disabled bool                         // whether the routers send everything
+	outage   func(now time.Duration) bool // whether the routers have no confirmed configuration
+	together bool                         // whether all callers that are rejected in an outage return after 1 s
 }
 
 const tick = 5 * time.Millisecond
@@ -56,6 +58,7 @@
 	s := &simulation{
 		servers: make([][]*caller, servers), left: make([]float64, servers), flows: flows, seconds: make([][]tally, len(flows)),
 		pending: make(map[time.Duration][]*caller), random: rand.New(rand.NewPCG(7, uint64(routers))), down: func(int, time.Duration) bool { return false },
+		outage: func(time.Duration) bool { return false },
 	}
 	for range routers {
 		s.routers = append(s.routers, New(Config{Servers: func(crlid.Service) int { return servers }}))
@@ -102,6 +105,16 @@
 		c.tally.refused++
 		return
 	}
+	if s.outage(now) {
+		after := c.router.RetryAfter(c.id, f.rank, time.Second, c.request.Left, instant(now))
+		if s.together {
+			after = time.Second
+		}
+		c.tally.rejections++
+		s.reject(c, after, now)
+		return
+	}
+	c.router.RecordArrival(instant(now))
 	d := Decision{}
 	if !s.disabled {
 		d = c.router.Decide(c.request, 0, instant(now))
@@ -306,6 +319,29 @@
 	}
 }
 
+// TestCallersReturnAfterAnOutage guards against a second overload by the callers who return after an outage of the store, of which the requests that
+// arrive then are late.
+func TestCallersReturnAfterAnOutage(t *testing.T) {
+	for _, routers := range []int{6, 83} {
+		for _, together := range []bool{true, false} {
+			s := newSimulation(routers, 140,
+				flow{organisation: "a", rank: 0, rate: 600, begin: 0.1, objective: 1500 * time.Millisecond, deadline: 20 * time.Second},
+				flow{organisation: "b", rank: 2, rate: 400, begin: 0.1, objective: 2 * time.Second, deadline: 5 * time.Second},
+				// Callers whose connections broke when the outage began, and who all send again.
+				flow{organisation: "c", rank: 2, rate: 6000, begin: 0.1, objective: 6 * time.Second, deadline: 25 * time.Second, from: 13 * time.Second, to: 14 * time.Second},
+			)
+			s.outage = func(now time.Duration) bool { return now >= 10*time.Second && now < 14*time.Second }
+			s.together = together
+			s.run(25 * time.Second)
+			during, after, later := s.sum(10, 14, anyFlow), s.sum(14, 18, anyFlow), s.sum(20, 24, anyFlow)
+			if rate := share(after.inTime, after.all); rate < 0.8 && !together {
+				t.Errorf("of the requests in the 4 s after the outage %.2f were in time", rate)
+			}
+			t.Logf("%d routers, all after 1 s: %t; arrived during the outage %v; 4 s after %v; then %v", routers, together, during, after, later)
+		}
+	}
+}
+
 // TestCallersThatIgnoreRetryAfter guards against callers that return at once, again and again, and thereby take the servers from those
 // that wait as they are told.
 func TestCallersThatIgnoreRetryAfter(t *testing.T) {
--- a/crladmission/returns.go
+++ b/crladmission/returns.go
@@ -10,9 +10,11 @@
 	minRetryAfter = 50 * time.Millisecond
 	// maxRetryShare is the part of the time left up to which callers honour a Retry-After.
 	maxRetryShare = 1.0 / 3
-	// returnShare is the part of the measured rate that is planned for callers who return, beside the new requests. At two thirds of
-	// the capacity, which servers are sized for, both together just fit.
-	returnShare = 0.5
+	// overloadReturnShare is the part of the measured drain that is planned for callers who return after an overload, as new requests need the
+	// rest.
+	overloadReturnShare = 0.5
+	// outageReturnShare is the same after an outage of the router's configuration, relative to the rate of requests before. The servers are idle then.
+	outageReturnShare = 1.0
 	// clampSpread is the part of the longest Retry-After over which callers are spread who would return later than they can.
 	clampSpread = 0.5
 )
@@ -56,7 +58,6 @@
 	if rate <= 0 {
 		return clamp(first+time.Duration(r.spread*float64(first)), longest, r.spread)
 	}
-	rate *= returnShare
 	r.serve(rate, now)
 	before := 0.0
 	for _, n := range r.waiting[:class+1] {
