--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -114,6 +114,7 @@
 // serviceLoad holds what this daemon's requests showed about the load of a service.
 type serviceLoad struct {
 	latencyFactor average // time to the first byte as a multiple of the expected one
+	excessWait    average // time to the first byte beyond the expected one, in seconds
 	bySize        [crlpartition.BucketCount]sizeBacklog
 	segments      [segmentCount]segmentWait
 	partition     crlpartition.Partition
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -151,7 +151,7 @@
 	}
 	candidates = f.withRoom(candidates, need)
 	f.updatePlaces(need.Service, now)
-	interval := f.serviceLoad(need.Service).partition.Interval(need.Work, f.partitionFleet(need.Service), now)
+	interval := f.interval(need.Service, need.Work, now)
 	holder := need.Affinity.holder(preferredBy(&interval, candidates))
 	for len(candidates) > 0 {
 		best, lowest := 0, math.Inf(1)
@@ -209,7 +209,10 @@
 	l := f.serviceLoad(need.Service)
 	usual := l.latencyFactor.mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
-	wait := max(s.health.decayedWait(now), l.segments[segment(s.place)].expected(now))
+	wait := s.health.decayedWait(now)
+	if f.IsLarge() {
+		wait = max(wait, l.segments[segment(s.place)].expected(now))
+	}
 	score := (s.pendingWork+need.Work)*slowness + s.remote.work + wait + f.remoteScore(s, l)
 	if s.coldUntil > now {
 		score += need.Work
@@ -336,6 +339,7 @@
 		factor := min(float64(r.FirstByte)/float64(p.ExpectedFirstByte), maxLatencyFactor)
 		h.latency.add(factor)
 		p.load.latencyFactor.add(factor)
+		p.load.excessWait.add(max(r.FirstByte-p.ExpectedFirstByte, 0).Seconds())
 	}
 }
 
--- a/crlfleet/wait.go
+++ b/crlfleet/wait.go
@@ -99,9 +99,12 @@
 	now := f.config.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.updatePlaces(service, now)
 	l := f.serviceLoad(service)
-	interval := l.partition.Interval(size, f.partitionFleet(service), now)
+	if !f.IsLarge() {
+		return f.expectedWaitOfAll(service, l)
+	}
+	f.updatePlaces(service, now)
+	interval := f.interval(service, size, now)
 	servers, wait := 0, math.Inf(1)
 	var waits [segmentCount]float64
 	for i := range waits {
@@ -120,6 +123,38 @@
 	return time.Duration(max(wait, backlog) * float64(time.Second))
 }
 
+// expectedWaitOfAll estimates the same for requests of all sizes together.
+func (f *Fleet) expectedWaitOfAll(service crlid.Service, l *serviceLoad) time.Duration {
+	servers := 0
+	for _, s := range f.services[service] {
+		if f.inService(s) {
+			servers++
+		}
+	}
+	var all sizeBacklog
+	for _, b := range l.bySize {
+		all.unanswered += b.unanswered
+		all.unansweredWork += b.unansweredWork
+	}
+	backlog := all.unansweredWorkLowerBound() * float64(f.config.Daemons()) / float64(max(servers, 1))
+	return time.Duration(max(l.excessWait.mean(0), backlog) * float64(time.Second))
+}
+
+// LargeFleet is the number of daemons from which each one sends so small a part of the requests that its own sends say little about a
+// server's load. Smaller fleets decide by their own sends alone.
+const LargeFleet = 24
+
+// IsLarge reports whether the fleet has LargeFleet daemons.
+func (f *Fleet) IsLarge() bool { return f.config.Daemons() >= LargeFleet }
+
+// interval returns the interval of requests of a size, which prefer all servers in a small fleet.
+func (f *Fleet) interval(service crlid.Service, size float64, now crlclock.Instant) crlpartition.Interval {
+	if !f.IsLarge() {
+		return crlpartition.Interval{}
+	}
+	return f.serviceLoad(service).partition.Interval(size, f.partitionFleet(service), now)
+}
+
 // slotsPerNeighbour is the number of slots of a server for each request that it runs at a moderate load.
 const slotsPerNeighbour = 4
 
--- a/crlforward/admission.go
+++ b/crlforward/admission.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crladmission"
 	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
 
@@ -23,6 +24,14 @@
 	smaller  bool // whether the larger model was ruled out for the sake of more urgent requests
 }
 
+// newAdmission returns the controller of a service's admission.
+func newAdmission(fleet *crlfleet.Fleet) *crladmission.Controller {
+	return crladmission.New(crladmission.Config{Servers: func(service crlid.Service) int {
+		_, servers := fleet.Capacity(service, "")
+		return servers
+	}})
+}
+
 // admits reports whether admission control applies to a request: to those of a model engine with a latency objective, which this router got
 // from the caller and which no server has been sent.
 func (x *exchange) admits() bool {
@@ -30,6 +39,9 @@
 		!x.stream.started
 }
 
+// hasAdmission reports whether admission control applies to this deployment.
+func (s *Service) hasAdmission() bool { return s.config.Admission == nil || s.config.Admission() }
+
 // checkAdmission decides once on a request before its first send, and holds or refuses it accordingly.
 func (s *Service) checkAdmission(ctx context.Context, x *exchange, plan *modelPlan) *Refusal {
 	a := &x.admission
@@ -40,7 +52,7 @@
 	if !x.handedOver {
 		s.admission.RecordArrival(s.config.Now())
 	}
-	if !x.admits() {
+	if !s.hasAdmission() || !x.admits() {
 		return nil
 	}
 	a.request = s.admissionRequest(x, plan)
@@ -71,11 +83,10 @@
 // admissionRequest describes a request for the decision on its admission.
 func (s *Service) admissionRequest(x *exchange, plan *modelPlan) crladmission.Request {
 	cost := s.estimate(x, plan.model(), plan)
-	_, servers := s.config.Fleet.Capacity(x.service.Name, "")
 	return crladmission.Request{
 		Service: x.service.Name, Organisation: x.caller.Name, ID: xxhash.Sum64String(string(x.head.Request)), Rank: x.priority(),
 		Begin: cost.firstByte.Seconds(), Cost: cost.workSeconds + cost.decodeSeconds, ExpectedWait: s.config.Fleet.ExpectedWait(x.service.Name, cost.workSeconds),
-		Objective: x.route.Objective, Elapsed: time.Since(x.arrived), Left: time.Until(x.deadline), Servers: servers,
+		Objective: x.route.Objective, Elapsed: time.Since(x.arrived), Left: time.Until(x.deadline),
 		InProgress: x.head.Resumes || x.head.Session != "" && s.sessions.version(x.sessionKey()) != "",
 	}
 }
@@ -112,8 +123,10 @@
 // allowsLargerModel reports whether a larger model may be used for a request: not while more urgent requests of its service wait for too
 // long.
 func (s *Service) allowsLargerModel(x *exchange) bool {
-	_, servers := s.config.Fleet.Capacity(x.service.Name, "")
-	allowed := s.admission.AllowsLarger(x.service.Name, x.priority(), servers, s.config.Now())
+	if !s.hasAdmission() {
+		return true
+	}
+	allowed := s.admission.AllowsLarger(x.service.Name, x.priority(), s.config.Now())
 	if !allowed {
 		x.admission.smaller = true
 		s.config.Metrics.countDecision("smaller-model")
@@ -123,6 +136,9 @@
 
 // notReady refuses a request that this router can't take or decide on yet. The callers return one after the other.
 func (s *Service) notReady(x *exchange, reason string, first time.Duration) *Refusal {
+	if !s.hasAdmission() {
+		return unavailable(reason, first)
+	}
 	rank, left := lowestPriority, longestWait
 	if x.route != nil {
 		rank = x.route.Priority
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -36,6 +36,7 @@
 	State              func() State // returns the newest known configuration; called for each request
 	Fleet              *crlfleet.Fleet
 	Rollouts           *crlrollout.Tracker
+	Admission          func() bool             // whether admission control applies; nil for always
 	Quarantine         *crlquarantine.Registry // what crashes servers; nil for one that only this Service feeds
 	Retries            *crlbudget.RetryBudget
 	Pace               *crlpace.Estimator // learns the costs of requests to model engines; nil for one that only this Service feeds
@@ -52,6 +53,9 @@
 	MaxDenialAge    time.Duration
 	SessionTimeout  time.Duration // time without a request after which a session has ended
 	MaxOpenRequests int           // limit of requests being handled, above which further ones are refused
+	// MaxHeldBytes limits what is held of plain answers for all callers together; 0 for no limit. An answer that exceeds it is relayed as it
+	// arrives, so that it can't be replaced by another server's.
+	MaxHeldBytes int64
 }
 
 // Service forwards requests to backend servers. It is an http.Handler.
@@ -62,6 +66,7 @@
 	reachability *reachability
 	handovers    *handovers
 	admission    *crladmission.Controller
+	held         heldBytes
 	openRequests atomic.Int64
 	lastArrival  atomic.Int64 // time of the newest request, in nanoseconds since the Unix epoch
 	draining     atomic.Bool
@@ -80,7 +85,7 @@
 	}
 	s := &Service{
 		config: config, sessions: newSessions(config.SessionTimeout), probes: newProbes(config.Probe),
-		handovers: newHandovers(config.Now), admission: crladmission.New(),
+		handovers: newHandovers(config.Now), admission: newAdmission(config.Fleet), held: heldBytes{limit: config.MaxHeldBytes},
 	}
 	s.reachability = &reachability{
 		now: config.Now, addresses: config.Fleet.Addresses, probe: s.probes.probe, log: config.Log, failed: make(map[string]bool),
@@ -156,6 +161,7 @@
 	fallback      *reply                  // complete answer of a smaller model, sent if the larger model does not answer
 	fallbackTimer *time.Timer             // ends a send in time for the fallback; nil without one
 	admission     admission
+	heldBytes     int64 // counted in Service.held
 	stream        stream
 	trace         trace
 }
@@ -176,6 +182,7 @@
 	s.lastArrival.Store(x.arrived.UnixNano())
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
+	defer s.releaseHeld(x)
 	if s.closed.Load() {
 		s.refuse(x, unavailable(ReasonDraining, drainingRetryAfter))
 		return
--- a/crlpartition/interval.go
+++ b/crlpartition/interval.go
@@ -1,6 +1,6 @@
 package crlpartition
 
-// Interval holds the positions that requests of one size prefer.
+// Interval holds the positions that requests of one size prefer, all of them in the zero Interval.
 type Interval struct {
 	size       float64              // in seconds
 	neighbours float64              // see Fleet
@@ -22,11 +22,16 @@
 func (p Place) to() float64 { return float64(p.Rank+1) / float64(p.Servers) }
 
 // Width returns the share of the servers that the requests prefer, above 0 and at most 1.
-func (i *Interval) Width() float64 { return max(i.to-i.from, minWidth) }
+func (i *Interval) Width() float64 {
+	if i.from == 0 && i.to == 0 {
+		return 1
+	}
+	return max(i.to-i.from, minWidth)
+}
 
 // Contains reports whether requests of the interval's size prefer the server at a place. A part of the server's positions suffices.
 func (i *Interval) Contains(place Place) bool {
-	if place.Servers < minServerCount {
+	if place.Servers < minServerCount || i.from == 0 && i.to == 0 {
 		return true
 	}
 	// An interval narrower than a server's part belongs to the server that its beginning falls on.
