Log calls between routers that bring no usable confirmation

Change: relay-call states what a call took, for how long the source held it and how old the source's confirmations are; relay-source states the roster's generation and what is left of the router's own copy. Evidence: the tests of crlrelay pass. Measured: nothing.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -36,8 +36,16 @@
 	ReaderCount = 2
 )
 
-// EventSource is logged when a follower switches to another source.
-const EventSource crllog.Event = "relay-source"
+// Log events of a follower.
+const (
+	// EventSource is logged when a follower switches to another source.
+	EventSource crllog.Event = "relay-source"
+	// EventCall is logged for a call that brought no confirmation within MaxAge, and for one that took longer than the source held it by slowCall.
+	EventCall crllog.Event = "relay-call"
+)
+
+// slowCall is the time beyond the held one from which a successful call is logged, many times a round trip between failure domains.
+const slowCall = 250 * time.Millisecond
 
 // FollowerConfig configures a Follower.
 type FollowerConfig struct {
@@ -218,7 +226,8 @@
 		f.source, f.incarnation, f.sourceBehind = source, "", false
 		clear(f.cursors)
 		f.config.Log.Event(EventSource, slog.String("source", source.Address), slog.Int("given-up", f.failures),
-			slog.String("cause", f.cause))
+			slog.String("cause", f.cause), slog.Int64("generation", f.Roster().Generation),
+			slog.Duration("left-ms", f.ownFreshUntil().Sub(f.config.Now())))
 	}
 	var response FollowResponse
 	sentAt := f.config.Now()
@@ -229,6 +238,7 @@
 	}, &response)
 	if err != nil {
 		f.cause = err.Error()
+		f.logCall(response, sentAt, false)
 		return false
 	}
 	f.heard.Store(true)
@@ -247,7 +257,30 @@
 		f.redirectTo(response.Sources)
 		return true
 	}
-	return f.apply(response, sentAt)
+	fresh := f.apply(response, sentAt)
+	f.logCall(response, sentAt, fresh)
+	return fresh
+}
+
+// logCall logs a call that ended now, unless it was as expected. age-ms is that of the source's oldest confirmation when it replied, negative if the
+// source had none or didn't reply.
+func (f *Follower) logCall(response FollowResponse, sentAt crlclock.Instant, fresh bool) {
+	took, held := f.config.Now().Sub(sentAt), time.Duration(response.HeldFor)*time.Millisecond
+	if fresh && took-held < slowCall {
+		return
+	}
+	age := Milliseconds(-1)
+	for topic, replica := range f.config.Replicas {
+		if delta, ok := response.Topics[topic]; ok && !replica.config.Optional {
+			age = max(age, delta.ConfirmationAge)
+		}
+	}
+	cause := f.cause
+	if fresh {
+		cause = "slow"
+	}
+	f.config.Log.Event(EventCall, slog.String("source", f.source.Address), slog.String("cause", cause), slog.Duration("call-ms", took),
+		slog.Duration("held-ms", held), slog.Int64("age-ms", int64(age)), slog.Int64("generation", f.Roster().Generation))
 }
 
 // redirectTo makes the given daemons the sources until a roster is known.
