Rank servers of an old copy of the entries after those that answer

Cause: a router whose copy of the servers' entries is older than the bound on leaving servers, and that finds no confirmed source, picks servers as if the copy were current. Change: Fleet.LimitEntryAge. While the copy is older than the bound, a server's score grows by the bound in seconds unless it has answered a request that this router sent within the bound. Replica.ConfirmedAt takes no lock, as OnChange holds the replica's while it takes the fleet's. Evidence: TestServersOfAnOldCopyRankAfterThoseThatAnswer is new; tests of crlrouter and crlforward pass. Measured: nothing.

--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -90,8 +90,9 @@
 	limit           *statedLimit // nil without one
 	brittle         *brittleness // nil for a server that isn't
 	pausedUntil     crlclock.Instant
-	statedLeaving   bool // an answer stated that the server leaves
-	removed         bool // the server no longer has an entry
+	answeredAt      crlclock.Instant // when the latest request that it answered was sent, 0 for none
+	statedLeaving   bool             // an answer stated that the server leaves
+	removed         bool             // the server no longer has an entry
 }
 
 // Fleet holds the known servers of all services. It is safe for concurrent use.
@@ -102,6 +103,7 @@
 	services  map[crlid.Service][]*server
 	evacuated map[crlid.Domain]bool
 	loads     map[crlid.Service]*serviceLoad
+	entryAge  entryAge
 	leaving   map[crlid.Server]time.Time // start times of the servers that stated in an answer that they leave
 }
 
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -194,6 +194,7 @@
 	usual := f.serviceLoad(need.Service).latencyFactor.mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
 	score := (s.pendingWork+need.Work)*slowness + s.health.decayedWait(now)
+	score += f.unconfirmedCost(s, now)
 	if s.coldUntil > now {
 		score += need.Work
 	}
--- a/crlfleet/statement.go
+++ b/crlfleet/statement.go
@@ -47,6 +47,7 @@
 	now := f.config.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	p.server.answeredAt = max(p.server.answeredAt, p.pickedAt)
 	if stated.Leaving {
 		f.markLeaving(p.server)
 	}
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -34,16 +35,18 @@
 
 // Replica holds the newest record of each key of a topic; it may be used by several goroutines.
 type Replica struct {
-	config         ReplicaConfig
-	mu             sync.Mutex // guards all below, and serialises the calls of OnChange
-	records        map[string]versionedRecord
-	lastChange     Cursor
-	deleted        int          // number of records that delete their keys
-	forgotten      Cursor       // the latest change whose record was dropped, see forgetDeleted
-	forgottenEnd   crlid.Offset // offset after the last record that was dropped
-	end            crlid.Offset // offset after the last record that was read
-	completeFrom   crlid.Offset // offset from which each change of the topic is known, also the deletion of keys that were never held
-	confirmedAt    crlclock.Instant
+	config       ReplicaConfig
+	mu           sync.Mutex // guards all below, and serialises the calls of OnChange
+	records      map[string]versionedRecord
+	lastChange   Cursor
+	deleted      int          // number of records that delete their keys
+	forgotten    Cursor       // the latest change whose record was dropped, see forgetDeleted
+	forgottenEnd crlid.Offset // offset after the last record that was dropped
+	end          crlid.Offset // offset after the last record that was read
+	completeFrom crlid.Offset // offset from which each change of the topic is known, also the deletion of keys that were never held
+	confirmedAt  crlclock.Instant
+	// confirmation is confirmedAt for readers without the lock: OnChange may take locks under which ConfirmedAt is called.
+	confirmation   atomic.Int64
 	confirmed      chan struct{}    // closed and replaced at each newer confirmation
 	uncertainUntil crlclock.Instant // until when keys that expired in the latest outage may reappear
 	loaded         bool             // whether every key of the topic was read at least once
@@ -162,6 +165,7 @@
 	r.noteOutage(at)
 	if at > r.confirmedAt {
 		r.confirmedAt = at
+		r.confirmation.Store(int64(at))
 		close(r.confirmed)
 		r.confirmed = make(chan struct{})
 	}
@@ -188,11 +192,7 @@
 }
 
 // ConfirmedAt returns the latest moment at which the replica is known to have been complete, 0 for never.
-func (r *Replica) ConfirmedAt() crlclock.Instant {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.confirmedAt
-}
+func (r *Replica) ConfirmedAt() crlclock.Instant { return crlclock.Instant(r.confirmation.Load()) }
 
 // End returns the offset at which the topic ended when it was last read, [crlid.NoOffset] before the first read.
 func (r *Replica) End() crlid.Offset {
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -107,8 +107,7 @@
 		MaxAge: map[crlrelay.Topic]time.Duration{
 			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
 		},
-		Bound:    map[crlrelay.Topic]time.Duration{topicOrders: s.Bounds.configuration(), topicServers: s.Bounds.drain()},
-		Exchange: r.evidence,
+		Bound: map[crlrelay.Topic]time.Duration{topicOrders: s.Bounds.configuration(), topicServers: s.Bounds.drain()}, Exchange: r.evidence,
 	})
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
@@ -133,6 +132,7 @@
 	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{
 		OnChange: r.servers.apply, Same: r.servers.sameEntry, Now: config.Clock, OutageAfter: outageThreshold, Settle: lapseGracePeriod,
 	})
+	r.fleet.LimitEntryAge(r.replicas[topicServers].ConfirmedAt, s.Bounds.drain())
 	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: r.reporter.apply, Now: config.Clock})
 	r.replicas[topicStatus] = r.reporter.replica
 	r.quarantine = r.newQuarantineLedger()
