Hash a roster when it is received, not in each call

Cause: each call between routers and each reply to one hash the addresses of all members. Change: the held roster keeps its digest. Evidence: TestHeldRosterIsHashedOnce (9 to 1,000 members) counts no allocations; tests of crlrelay pass.

--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -70,6 +70,8 @@
 type Roster struct {
 	Generation int64    `json:"generation"` // generation of the group, as the store numbers it
 	Members    []Member `json:"members"`
+	// knownDigest is the digest of a roster that is held, 0 if it has to be computed: each call and each reply needs it.
+	knownDigest uint64
 }
 
 // Has reports whether the roster lists the member's address.
@@ -80,6 +82,9 @@
 // digest returns a hash of the generation and the members' addresses. The generation alone does not identify a roster: lists
 // that are read while the store reassigns partitions can differ within one generation.
 func (r Roster) digest() uint64 {
+	if r.knownDigest != 0 {
+		return r.knownDigest
+	}
 	hash := xxhash.New()
 	for _, m := range r.Members {
 		// Writes to a hash never fail.
--- a/crlrelay/tree_test.go
+++ b/crlrelay/tree_test.go
@@ -166,3 +166,24 @@
 		}
 	}
 }
+
+// TestHeldRosterIsHashedOnce guards against a hash over all members in each call and each reply, which grows with the fleet.
+func TestHeldRosterIsHashedOnce(t *testing.T) {
+	for _, members := range []int{9, 63, 295, 1000} {
+		roster := fleetRoster(members, 6)
+		f := newFollower(newDaemon("a", crlclock.NewMonotonic()), nil, "a")
+		f.UpdateRoster(roster)
+		if got, want := f.Roster().digest(), roster.digest(); got != want {
+			t.Errorf("%d members: the held roster has digest %d, want %d", members, got, want)
+		}
+		if allocations := testing.AllocsPerRun(10, func() { _ = f.Roster().digest() }); allocations > 0 {
+			t.Errorf("%d members: %v allocations for the digest of a held roster, want none", members, allocations)
+		}
+		changed := f.Roster()
+		changed.Generation++
+		f.UpdateRoster(changed)
+		if got, before := f.Roster().digest(), roster.digest(); got == before {
+			t.Errorf("%d members: a roster of another generation has the same digest", members)
+		}
+	}
+}
