--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -98,6 +98,7 @@
 	removed         bool               // the server no longer has an entry
 	place           crlpartition.Place // as of serviceLoad.placedAt
 	order           uint64             // see placeOrder
+	answeredAt      crlclock.Instant   // when the latest request that it answered was sent, 0 for none
 }
 
 // Fleet holds the known servers of all services. It is safe for concurrent use.
@@ -108,6 +109,7 @@
 	services  map[crlid.Service][]*server
 	evacuated map[crlid.Domain]bool
 	loads     map[crlid.Service]*serviceLoad
+	entryAge  entryAge
 	leaving   map[crlid.Server]time.Time // start times of the servers that stated in an answer that they leave
 }
 
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -214,6 +214,7 @@
 		wait = max(wait, l.segments[segment(s.place)].expected(now))
 	}
 	score := (s.pendingWork+need.Work)*slowness + s.remote.work + wait + f.remoteScore(s, l)
+	score += f.unconfirmedCost(s, now)
 	if s.coldUntil > now {
 		score += need.Work
 	}
--- a/crlfleet/remote_test.go
+++ b/crlfleet/remote_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
-	"github.com/cranberrylock/cranberrylock/crlpartition"
 	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlpartition"
 	"github.com/cranberrylock/cranberrylock/crlworkload"
 )
 
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -112,7 +112,7 @@
 		MaxAge: map[crlrelay.Topic]time.Duration{
 			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
 		},
-		Exchange: r.exchanges,
+		Bound: map[crlrelay.Topic]time.Duration{topicOrders: s.Bounds.configuration(), topicServers: s.Bounds.drain()}, Exchange: r.exchanges,
 	})
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
@@ -137,6 +137,7 @@
 	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{
 		OnChange: r.servers.apply, Same: r.servers.sameEntry, Now: config.Clock, OutageAfter: outageThreshold, Settle: lapseGracePeriod,
 	})
+	r.fleet.LimitEntryAge(r.replicas[topicServers].ConfirmedAt, s.Bounds.drain())
 	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: r.reporter.apply, Now: config.Clock})
 	r.replicas[topicStatus] = r.reporter.replica
 	r.quarantine = r.newQuarantineLedger()
