Check a configuration of the router before it is sent

Cause: a configuration that routes nothing where it was meant to, or gives a key to two organisations, is noticed only once routers have it in force. Change: cranberrylockctl check-routing FILE IN-FORCE checks a configuration in the platform's form and lists the differences from the one in force, as text and as JSON. Package crlroutecheck has the checks and knows no form; platform.DecodeDraft decodes with the places of errors and parts. Keys print as a placeholder, messages of decoding errors contain no part of the text. The golden file show has the new command in its lists of commands. Evidence: TestRules and TestCompare have a case for each rule and kind of difference; TestNeverMatchesAgreesWithTable compares with crlroute.Table; TestKeysAreNotPrinted; TestPlaces, TestDraftErrors and TestCommands.

--- a/cmd/cranberrylockctl/main_test.go
+++ b/cmd/cranberrylockctl/main_test.go
@@ -23,7 +23,8 @@
 // TestCommands runs the command lines in testdata against an admin server with a fake fleet and compares the output and the
 // exit code.
 //
-// The argument line is the command line with "_" for each space; the input becomes the file "file.ini".
+// The argument line is the command line with "_" for each space; the input becomes the file "file.ini". What follows a line "=====" in
+// it becomes the file "in-force".
 func TestCommands(t *testing.T) {
 	path, err := filepath.Abs("testdata")
 	if err != nil {
@@ -42,8 +43,11 @@
 			d.MaybeScanArgs(t, "stale", &fleet.stale)
 			d.MaybeScanArgs(t, "behind", &fleet.behind)
 			d.MaybeScanArgs(t, "undecided", &fleet.undecided)
-			if err := os.WriteFile("file.ini", []byte(d.Input), 0o600); err != nil {
-				t.Fatal(err)
+			input, inForce, _ := strings.Cut(d.Input, "\n=====\n")
+			for name, content := range map[string]string{"file.ini": input, "in-force": inForce} {
+				if err := os.WriteFile(name, []byte(content), 0o600); err != nil {
+					t.Fatal(err)
+				}
 			}
 			var line string
 			d.ScanArgs(t, "line", &line)
