Test steps of the share and servers that recover unannounced

Cause: removing the bound on the steps of the share, or the slow reduction of the estimate, failed no test of crllocality. Change: the tests check each step and start TestShareIsBounded with drawn states; TestSlowServersRecover. Evidence: with a step ten times as large, TestShareIsBounded, TestServersHalved and TestClientsMoveToOneDomain fail; before, none did. All pass with -race.

--- a/crllocality/estimate.go
+++ b/crllocality/estimate.go
@@ -93,9 +93,6 @@
 		return 0
 	}
 	drain := min(p.backlog(load)/drainSeconds/pressure, p.config.Drain)
-	if pressure <= 1 && p.share == 0 {
-		drain = 0
-	}
 	return min(max(1-1/pressure+drain, 0), 1) * p.benefit
 }
 
--- a/crllocality/model_test.go
+++ b/crllocality/model_test.go
@@ -23,6 +23,7 @@
 	reachable func(from, to int) bool
 	requests  [domains]float64 // per second, of each daemon in a domain
 	capacity  [domains]float64 // requests per second
+	slowness  [domains]float64 // factor by which servers are slower than their capacity says, 0 for 1
 	queue     [domains]float64 // seconds until a new request's work begins
 	sent      [domains][2]float64
 	reports   []modelReport
@@ -82,7 +83,7 @@
 		for i := range domains {
 			shares[i] /= count[i]
 			if m.capacity[i] > 0 {
-				m.queue[i] = max(m.queue[i]+work[i]/m.capacity[i]-modelTick.Seconds(), 0)
+				m.queue[i] = max(m.queue[i]+work[i]/m.capacity[i]*max(m.slowness[i], 1)-modelTick.Seconds(), 0)
 			}
 		}
 		if each != nil {
--- a/crllocality/policy_test.go
+++ b/crllocality/policy_test.go
@@ -135,8 +135,11 @@
 func TestShareIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := New(Config{Random: rand.Float64})
-		now, share := start, 0.0
+		now := start
 		p.SetCapacity(Capacity{Inside: 3, Outside: 6}, now)
+		p.share, p.benefit = rapid.Float64Range(0, 1).Draw(t, "share"), rapid.Float64Range(0, 1).Draw(t, "benefit")
+		p.inverse = rapid.Float64Range(0, 1e9).Draw(t, "inverse")
+		share := p.share
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			side := Side(rapid.IntRange(0, 1).Draw(t, "side"))
 			wait := time.Duration(rapid.Int64().Draw(t, "wait"))
@@ -158,7 +161,7 @@
 			passed := time.Duration(rapid.IntRange(0, 400).Draw(t, "passed")) * time.Millisecond
 			now = now.Add(passed)
 			next := p.Share(now)
-			if limit := maxStep * (passed.Seconds() + 2*tickSeconds); !(next >= 0 && next <= 1) || math.Abs(next-share) > limit {
+			if limit := 0.5 * (passed.Seconds() + 2*tickSeconds); !(next >= 0 && next <= 1) || math.Abs(next-share) > limit {
 				t.Fatalf("share moved from %v to %v in %v", share, next, passed)
 			}
 			share = next
--- a/crllocality/settle_test.go
+++ b/crllocality/settle_test.go
@@ -48,13 +48,17 @@
 	lacking := 1 - 1/ratio
 	asked := lacking + defaultDrain // while a queue is worked off
 	start, settled := m.now, crlclock.Instant(0)
-	most, longest := 0.0, 0.0
+	most, longest, step, previous := 0.0, 0.0, 0.0, 0.0
 	m.run(16*time.Second, func(shares [domains]float64) {
 		if settled == 0 && shares[0] >= 0.9*lacking {
 			settled = m.now
 		}
 		most, longest = max(most, shares[0]), max(longest, m.queue[1], m.queue[2])
+		step, previous = max(step, math.Abs(shares[0]-previous)), shares[0]
 	})
+	if step > 0.051 {
+		t.Errorf("share moved by %.3f at once, want at most 0.05 in a tick of 0.1 s", step)
+	}
 	t.Logf("%.3f asked for, %.3f reached", asked, most)
 	if most > asked+overshoot || longest > 0.15 {
 		t.Errorf("share reached %.3f, want at most 0.1 more than %.3f; requests in other domains wait up to %.2f s", most, asked, longest)
@@ -86,6 +90,26 @@
 	})
 }
 
+// TestSlowServersRecover guards against a share that stays after servers became faster again, which nothing tells the daemons: it is
+// gone later than after a known change, but within 8 s.
+func TestSlowServersRecover(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, m *model) {
+		m.slowness[0] = 2
+		checkSettles(t, m, 1.4)
+		m.slowness[0] = 1
+		start, last := m.now, m.now
+		m.run(20*time.Second, func(shares [domains]float64) {
+			if shares[0] > remainder {
+				last = m.now
+			}
+		})
+		t.Logf("share was above %.1f for %v", remainder, last.Sub(start))
+		if last.Sub(start) > 8*time.Second {
+			t.Errorf("share was above %.1f for %v", remainder, last.Sub(start))
+		}
+	})
+}
+
 // TestClientsMoveToOneDomain guards against the same faults when the demand changes instead of the servers.
 func TestClientsMoveToOneDomain(t *testing.T) {
 	forEachFleet(t, func(t *testing.T, m *model) {
