--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -105,15 +105,7 @@
 	})
 	r.pace = crlpace.New(crlpace.Config{Self: r.incarnation, Now: config.Clock})
 	r.workload, r.exchanges = r.newExchanges(rollouts)
-	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
-		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
-		Replicas: r.replicas, ApplyOrder: topicApplyOrder, Peers: config.Peers, Now: config.Clock, Log: config.Logger,
-		StoreFailing: func() bool { return r.failingTopics.Load() > 0 },
-		MaxAge: map[crlrelay.Topic]time.Duration{
-			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
-		},
-		Bound: map[crlrelay.Topic]time.Duration{topicOrders: s.Bounds.configuration(), topicServers: s.Bounds.drain()}, Exchange: r.exchanges,
-	})
+	r.follower = r.newFollower()
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
 		store: config.Store, follower: r.follower, logger: config.Logger, now: config.Clock,
@@ -160,6 +152,20 @@
 	return r
 }
 
+// newFollower returns the follower that keeps the router's replicas up to date.
+func (r *Router) newFollower() *crlrelay.Follower {
+	s := r.config.Settings
+	return crlrelay.NewFollower(crlrelay.FollowerConfig{
+		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
+		Replicas: r.replicas, ApplyOrder: topicApplyOrder, Peers: r.config.Peers, Now: r.config.Clock, Log: r.config.Logger,
+		StoreFailing: func() bool { return r.failingTopics.Load() > 0 },
+		MaxAge: map[crlrelay.Topic]time.Duration{
+			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
+		},
+		Bound: map[crlrelay.Topic]time.Duration{topicOrders: s.Bounds.configuration(), topicServers: s.Bounds.drain()}, Exchange: r.exchanges,
+	})
+}
+
 // newQuarantineLedger returns the ledger of suspected parts with its replica.
 func (r *Router) newQuarantineLedger() *quarantineLedger {
 	l := &quarantineLedger{
