Divide servers among sizes by the work of all daemons

Cause: each daemon divided the servers by its own requests, a few in the time that counts, so that boundaries differed between daemons and the servers at the far end got more. Change: crlfleet tells the exchanged table of each request's work by size and uses the sum of all daemons as soon as it is known. Without it, the daemon's own work stands for all. Evidence: tests of crlfleet and crlpartition; the tests' fake of the table got the methods.

--- a/crlfleet/remote.go
+++ b/crlfleet/remote.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlpartition"
 	"github.com/cranberrylock/cranberrylock/crlworkload"
 )
 
@@ -18,6 +19,12 @@
 	End(server crlid.Server, amount crlworkload.Amount)
 	// Others returns the load that other daemons are known to put on a server, and the mean age of that knowledge.
 	Others(server crlid.Server, now crlclock.Instant) (amount crlworkload.Amount, age time.Duration)
+	// RecordWork records that a request of a bucket of sizes was sent to a server that will work on it for the given time, in seconds.
+	RecordWork(service crlid.Service, bucket int, seconds float64)
+	// RecordWait records how long such a request waited for its server.
+	RecordWait(service crlid.Service, bucket int, wait time.Duration)
+	// Demand returns the recent work of all daemons by bucket, in seconds of servers for each second, and the mean waits in seconds.
+	Demand(service crlid.Service, now crlclock.Instant) (work, wait [crlworkload.Buckets]float64, age time.Duration, ok bool)
 	// Known returns the number of other daemons whose load Others holds.
 	Known(now crlclock.Instant) float64
 }
@@ -50,6 +57,8 @@
 	tokens      arrivals
 	workAfter   average   // Need.WorkAfter of this daemon's sends
 	totals      []float64 // reused by refresh
+	demand      [crlpartition.BucketCount]float64
+	hasDemand   bool
 }
 
 // arrivals estimates a rate from single arrivals.
@@ -83,7 +92,7 @@
 		r.active, r.refreshedAt = true, now
 		f.predictRemote(r, f.services[need.Service], float64(others), now)
 	case r.active:
-		r.active = false
+		r.active, r.hasDemand = false, false
 		for _, s := range f.services[need.Service] {
 			s.remote = remoteLoad{}
 		}
@@ -101,6 +110,7 @@
 	if len(servers) == 0 {
 		return
 	}
+	r.demand, _, _, r.hasDemand = f.config.Loads.Demand(servers[0].entry.Service, now)
 	count := float64(len(servers))
 	known := min(f.config.Loads.Known(now), others)
 	ownWork, ownTokens := 0.0, 0.0
@@ -193,6 +203,7 @@
 	p.load.remote.work.add(need.Work, now)
 	p.load.remote.tokens.add(p.tokens, now)
 	p.load.remote.workAfter.add(need.WorkAfter)
+	f.config.Loads.RecordWork(need.Service, crlpartition.Bucket(need.Work), need.Work+need.WorkAfter)
 	f.config.Loads.Begin(p.server.entry.Server, crlworkload.Amount{Requests: 1, PromptSeconds: p.work, Tokens: p.tokens})
 }
 
--- a/crlfleet/remote_test.go
+++ b/crlfleet/remote_test.go
@@ -428,3 +428,10 @@
 		p.Done(Result{Outcome: OutcomeNeutral})
 	}
 }
+
+func (*fixedLoads) RecordWork(crlid.Service, int, float64)       {}
+func (*fixedLoads) RecordWait(crlid.Service, int, time.Duration) {}
+
+func (*fixedLoads) Demand(crlid.Service, crlclock.Instant) (work, wait [crlworkload.Buckets]float64, age time.Duration, ok bool) {
+	return work, wait, 0, false
+}
--- a/crlfleet/wait.go
+++ b/crlfleet/wait.go
@@ -161,7 +161,10 @@
 // partitionFleet describes a service's servers and the daemons to its partition.
 func (f *Fleet) partitionFleet(service crlid.Service) crlpartition.Fleet {
 	servers := f.services[service]
-	fleet := crlpartition.Fleet{DaemonsPerServer: float64(f.config.Daemons()) / float64(max(len(servers), 1))}
+	fleet := crlpartition.Fleet{DaemonsPerServer: float64(f.config.Daemons()) / float64(max(len(servers), 1)), Servers: len(servers)}
+	if r := &f.serviceLoad(service).remote; r.hasDemand {
+		fleet.Work = &r.demand
+	}
 	if len(servers) > 0 {
 		fleet.Neighbours = float64(servers[0].entry.Slots) / slotsPerNeighbour
 	}
--- a/crlpartition/partition.go
+++ b/crlpartition/partition.go
@@ -82,7 +82,11 @@
 // Fleet describes the servers and daemons that share the requests.
 type Fleet struct {
 	DaemonsPerServer float64 // number of daemons, each with as much work as this one, for each server
-	Neighbours       float64 // number of smaller requests that a large one delays at a server that they prefer
+	// Work is the recent work of all daemons by bucket, in seconds of servers for each second, and Servers their number. If Work is nil,
+	// the work of this daemon stands for that of all.
+	Work       *[BucketCount]float64
+	Servers    int
+	Neighbours float64 // number of smaller requests that a large one delays at a server that they prefer
 }
 
 // Interval returns the interval of requests of a size in seconds, which should be recorded before. Every position is preferred while too
@@ -94,18 +98,23 @@
 	if p.records < minRecords || p.work[own] == 0 {
 		return i
 	}
+	works, utilisation := p.work, fleet.DaemonsPerServer/max(p.seconds, minSeconds)
+	if fleet.Work != nil && fleet.Servers > 0 {
+		works, utilisation = *fleet.Work, 1/float64(fleet.Servers)
+		works[own] = max(works[own], p.work[own]/max(p.seconds, minSeconds)) // The request itself may not have been reported yet.
+	}
 	total := 0.0
-	for _, work := range p.work {
+	for _, work := range works {
 		total += work
 	}
 	sum, rest := 0.0, total
-	for b, work := range p.work {
+	for b, work := range works {
 		if b == own {
 			i.from = sum
 		}
 		if work > 0 {
-			i.sizes[b] = p.weighted[b] / work
-			sum += width(work, rest, 1-sum, fleet.DaemonsPerServer/max(p.seconds, minSeconds))
+			i.sizes[b] = p.meanSize(b)
+			sum += width(work, rest, 1-sum, utilisation)
 			rest -= work
 			if rest < largestWorkShare*total {
 				sum = 1
@@ -117,6 +126,14 @@
 	return i
 }
 
+// meanSize returns the mean size in seconds of recorded requests in a bucket, or the middle of the bucket without any.
+func (p *Partition) meanSize(b int) float64 {
+	if p.work[b] > 0 {
+		return p.weighted[b] / p.work[b]
+	}
+	return 0.75 * smallestSize * math.Exp2(float64(b))
+}
+
 // width returns the share of all servers for the requests of one bucket: their part of the work of these and of all larger ones, or as many
 // servers as their work loads lightly, if that is more. rest is the work of both, left the share of servers that smaller ones leave, and
 // utilisation that of all servers by a second of work.
