Compute learned costs in a fixed order

Change: an Estimator keeps its keys sorted and goes through them in that order, also for the models of a report.

--- a/crlpace/estimator.go
+++ b/crlpace/estimator.go
@@ -1,7 +1,9 @@
 package crlpace
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +60,8 @@
 	models   map[Key]*model
 	services map[crlid.Service]*speeds
 	exchange exchange
+	// keys are those of models in a fixed order: estimates depend on each other, so the order of a map would change them from run to run.
+	keys []Key
 }
 
 // model is what is known about one service and model.
@@ -81,6 +85,11 @@
 	}
 }
 
+// compare orders keys by service, then by model.
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Service, other.Service), cmp.Compare(k.Model, other.Model))
+}
+
 // AddModel sets the initial estimate of a key by the place of its model among the count models of a route, smallest first. Only the
 // first call for a key has an effect.
 func (e *Estimator) AddModel(key Key, place, count int) {
@@ -115,6 +124,8 @@
 		m = &model{factor: 1, relative: 1, anchor: initialFit(1), own: observations{speeds: s}}
 		m.fit = m.anchor
 		e.models[key] = m
+		at, _ := slices.BinarySearchFunc(e.keys, key, Key.compare)
+		e.keys = slices.Insert(e.keys, at, key)
 	}
 	return m
 }
@@ -209,7 +220,8 @@
 // refit computes the estimates of a key, and of the other models of the service, which depend on them.
 func (e *Estimator) refit(key Key, m *model, now crlclock.Instant) {
 	e.solve(key, m, now)
-	for other, o := range e.models {
+	for _, other := range e.keys {
+		o := e.models[other]
 		if other != key && other.Service == key.Service {
 			e.solve(other, o, now)
 		}
@@ -276,7 +288,8 @@
 // and how much their observations tell about it. It is the mean of their logarithms, 1 if nothing is known.
 func (e *Estimator) promptScale(key Key) (scale, spread float64) {
 	var sum float64
-	for other, m := range e.models {
+	for _, other := range e.keys {
+		m := e.models[other]
 		if other != key && other.Service == key.Service {
 			sum += m.spread * math.Log(m.fit.promptToken*initialPromptRate/m.relative)
 			spread += m.spread
@@ -291,7 +304,8 @@
 // tokenScale returns the time per token of a service's other models relative to their initial estimates, 1 if it isn't known.
 func (e *Estimator) tokenScale(key Key) float64 {
 	var sum, count float64
-	for other, m := range e.models {
+	for _, other := range e.keys {
+		m := e.models[other]
 		if other != key && other.Service == key.Service && m.tokensSeen {
 			sum += math.Log(m.fit.token / (initialTokenTime * m.factor))
 			count++
--- a/crlpace/exchange.go
+++ b/crlpace/exchange.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -136,7 +137,7 @@
 
 // refitAll computes the estimates of the keys of a report.
 func (e *Estimator) refitAll(r report, now crlclock.Instant) {
-	for key := range r.models {
+	for _, key := range slices.SortedFunc(maps.Keys(r.models), Key.compare) {
 		if m := e.model(key); m != nil {
 			e.solve(key, m, now)
 			e.follow(key, m, now)
@@ -155,7 +156,8 @@
 		weight float64
 	}
 	var entries []entry
-	for key, state := range e.models {
+	for _, key := range e.keys {
+		state := e.models[key]
 		total := state.own.sums(state.fit, now)
 		addOthers(key, &total)
 		total.limit()
