--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlpartition"
 )
 
 // Entry is what a backend server announces about itself.
@@ -30,6 +31,7 @@
 	Daemons      func() int     // returns the number of daemons that send requests to the servers
 	ColdRatio    float64        // a cold server gets at most ColdRatio * Need.ColdRate + ColdSlack requests in any second
 	ColdSlack    float64        // requests that a cold server may get beyond the ratio in any second, from all daemons together
+	Loads        Loads          // exchanges the load of model engines with other daemons; nil for none
 	Random       func() float64 // returns random numbers in [0, 1); nil for math/rand/v2
 	Now          crlclock.Clock
 	OnTransition func(Transition) // called on each change of a server's state, with the fleet locked; nil for none
@@ -86,12 +88,17 @@
 	coldBuckets     []crlbudget.Bucket // limit the rate of requests while the server is cold; each belongs to a slot
 	openRequests    int
 	pendingWork     float64 // work of this daemon's open requests, in seconds of an unloaded server
+	tokens          float64 // tokens of this daemon's open requests, if their load is exchanged
+	remote          remoteLoad
 	health          health
 	limit           *statedLimit // nil without one
 	brittle         *brittleness // nil for a server that isn't
 	pausedUntil     crlclock.Instant
-	statedLeaving   bool // an answer stated that the server leaves
-	removed         bool // the server no longer has an entry
+	statedLeaving   bool               // an answer stated that the server leaves
+	removed         bool               // the server no longer has an entry
+	place           crlpartition.Place // as of serviceLoad.placedAt
+	order           uint64             // see placeOrder
+	answeredAt      crlclock.Instant   // when the latest request that it answered was sent, 0 for none
 }
 
 // Fleet holds the known servers of all services. It is safe for concurrent use.
@@ -102,15 +109,19 @@
 	services  map[crlid.Service][]*server
 	evacuated map[crlid.Domain]bool
 	loads     map[crlid.Service]*serviceLoad
+	entryAge  entryAge
 	leaving   map[crlid.Server]time.Time // start times of the servers that stated in an answer that they leave
 }
 
 // serviceLoad holds what this daemon's requests showed about the load of a service.
 type serviceLoad struct {
-	latencyFactor  average // time to the first byte as a multiple of the expected one
-	excessWait     average // time to the first byte beyond the expected one, in seconds
-	unansweredWork float64 // work of sends whose answers have not begun, in seconds of an unloaded server
-	unanswered     int     // number of sends whose answers have not begun
+	latencyFactor average // time to the first byte as a multiple of the expected one
+	excessWait    average // time to the first byte beyond the expected one, in seconds
+	bySize        [crlpartition.BucketCount]sizeBacklog
+	segments      [segmentCount]segmentWait
+	partition     crlpartition.Partition
+	placedAt      crlclock.Instant // when the places of the servers were last computed
+	remote        remoteState
 }
 
 // serviceLoad returns the load of a service, and adds an empty one first if there is none.
@@ -144,12 +155,13 @@
 	defer f.mu.Unlock()
 	s, ok := f.servers[e.Server]
 	if !ok {
-		s = &server{entry: e, statedLeaving: f.hasStatedLeaving(e)}
+		s = &server{entry: e, order: placeOrder(e.Server), statedLeaving: f.hasStatedLeaving(e)}
 		if f.isNewVersion(e, now) {
 			s.newVersionUntil = now.Add(newVersionDelay)
 		}
 		f.servers[e.Server] = s
 		f.services[e.Service] = append(f.services[e.Service], s)
+		f.serviceLoad(e.Service).remote.refreshedAt = 0 // Without an estimate, the server would look idle.
 		f.config.OnTransition(Transition{Server: e.Server, Entry: e, State: StateInService, Cause: "announced"})
 	}
 	before := s.entry
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -34,6 +34,9 @@
 	ExpectedFirstByte time.Duration         // time to the first byte on an unloaded server
 	ColdRate          float64               // requests per second that a cold server of the service can handle, 0 for no limit
 	Exclude           map[crlid.Server]bool // servers that the request was already sent to
+	Engine            bool                  // the service is a model engine, whose load daemons exchange
+	Tokens            crlid.Tokens          // tokens of the prompt and the longest answer, 0 if not stated
+	MemoryTokens      crlid.Tokens          // tokens that a server of the service has memory for, 0 if not stated
 }
 
 // Affinity describes what a request saves on a server that has a part of its prompt cached. All daemons send requests with
@@ -52,10 +55,13 @@
 	fleet             *Fleet
 	server            *server
 	load              *serviceLoad
+	segment           *segmentWait
 	pickedAt          crlclock.Instant
 	answered          bool    // whether markAnswered was called
 	work              float64 // Need.Work until the answer begins, then 0
 	workAfter         float64 // copied from Need.WorkAfter, in seconds
+	exchanged         bool    // whether the send counts in Config.Loads
+	tokens            float64 // Need.Tokens if exchanged
 }
 
 const (
@@ -72,19 +78,25 @@
 	now := f.config.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// Recorded first, so that the request's own size is known when its interval is computed.
+	f.serviceLoad(need.Service).partition.Record(need.Work, need.Work+need.WorkAfter, now)
+	f.refreshRemote(need, now)
 	for _, preferred := range []bool{true, false} {
 		for _, available := range []bool{true, false} {
 			if s := f.best(need, preferred, available, now); s != nil {
 				s.openRequests++
 				s.pendingWork += need.Work + need.WorkAfter
 				l := f.serviceLoad(need.Service)
-				l.unansweredWork += need.Work
-				l.unanswered++
-				return &Pick{
+				l.backlog(need.Work).begin(need.Work)
+				segment := &l.segments[segment(s.place)]
+				segment.begin(now)
+				p := &Pick{
 					Server: s.entry.Server, Address: s.entry.Address, Version: s.entry.Version,
 					ExpectedFirstByte: need.ExpectedFirstByte, fleet: f, server: s, load: l, work: need.Work, workAfter: need.WorkAfter,
-					pickedAt: now,
-				}, nil
+					pickedAt: now, segment: segment,
+				}
+				f.beginLoad(p, need, now)
+				return p, nil
 			}
 		}
 	}
@@ -137,11 +149,14 @@
 	if available {
 		candidates = fewest(candidates, need.FewServers)
 	}
-	holder := need.Affinity.holder(candidates)
+	candidates = f.withRoom(candidates, need)
+	f.updatePlaces(need.Service, now)
+	interval := f.interval(need.Service, need.Work, now)
+	holder := need.Affinity.holder(preferredBy(&interval, candidates))
 	for len(candidates) > 0 {
 		best, lowest := 0, math.Inf(1)
 		for i, s := range candidates {
-			score := f.score(s, need, now)
+			score := f.score(s, need, now) + interval.Penalty(s.place)
 			if s == holder {
 				score -= need.Affinity.Saving
 			}
@@ -191,9 +206,15 @@
 // score estimates the time to the first byte of the server's answer, in seconds. The work at a server that is slower than
 // usual for its service takes longer in proportion, and at a cold server the request's own work counts once more.
 func (f *Fleet) score(s *server, need Need, now crlclock.Instant) float64 {
-	usual := f.serviceLoad(need.Service).latencyFactor.mean(1)
+	l := f.serviceLoad(need.Service)
+	usual := l.latencyFactor.mean(1)
 	slowness := max(s.health.latency.mean(usual)/usual, 1)
-	score := (s.pendingWork+need.Work)*slowness + s.health.decayedWait(now)
+	wait := s.health.decayedWait(now)
+	if f.IsLarge() {
+		wait = max(wait, l.segments[segment(s.place)].expected(now))
+	}
+	score := (s.pendingWork+need.Work)*slowness + s.remote.work + wait + f.remoteScore(s, l)
+	score += f.unconfirmedCost(s, now)
 	if s.coldUntil > now {
 		score += need.Work
 	}
@@ -259,7 +280,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.server.pendingWork -= p.work
+	if !p.answered {
+		p.segment.record(max(firstByte-p.ExpectedFirstByte, 0), now)
+	}
 	p.markAnswered()
+	p.endPrompt()
 	p.work = 0
 	p.server.health.recordWait(max(firstByte-p.ExpectedFirstByte, 0), now)
 }
@@ -270,8 +295,8 @@
 		return
 	}
 	p.answered = true
-	p.load.unansweredWork -= p.work
-	p.load.unanswered--
+	p.load.backlog(p.work).end(p.work)
+	p.segment.end(p.pickedAt)
 }
 
 // Done ends the send: its work no longer counts at the server, and its result is recorded.
@@ -281,6 +306,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.server.openRequests--
+	p.endLoad()
 	p.server.pendingWork -= p.work + p.workAfter
 	p.markAnswered()
 	if p.server.openRequests == 0 {
@@ -336,29 +362,3 @@
 	s.health.backOff(now)
 	f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateSuspect, Cause: cause})
 }
-
-// unansweredWorkLowerBound returns the work of sends without an answer, less the part for twice the standard deviation of
-// their number: a few sends of one daemon say nothing about the other daemons.
-func (l *serviceLoad) unansweredWorkLowerBound() float64 {
-	if l.unanswered == 0 {
-		return 0
-	}
-	return l.unansweredWork * max(0, 1-2/math.Sqrt(float64(l.unanswered)))
-}
-
-// ExpectedWait estimates how much later than on unloaded servers a service's answers begin now. It is the average of the waits
-// that this daemon observed lately, or the time that the servers need for all sends without an answer, whichever is longer.
-// Every daemon is assumed to have as many such sends as this one.
-func (f *Fleet) ExpectedWait(service crlid.Service) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	servers := 0
-	for _, s := range f.services[service] {
-		if f.inService(s) {
-			servers++
-		}
-	}
-	l := f.serviceLoad(service)
-	backlog := l.unansweredWorkLowerBound() * float64(f.config.Daemons()) / float64(max(servers, 1))
-	return time.Duration(max(l.excessWait.mean(0), backlog) * float64(time.Second))
-}
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -64,7 +64,7 @@
 }
 
 // send sends the request to one server and relays the answer unless the request should be sent again. It reports the outcome
-// to the fleet, the roll-outs and the time factors.
+// to the fleet and the roll-outs.
 func (s *Service) send(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -75,8 +75,7 @@
 	}
 	result := crlfleet.Result{Outcome: crlfleet.OutcomeNeutral}
 	defer func() { pick.Done(result) }()
-	x.sends++
-	x.tried[pick.Server] = true
+	s.beginSend(x, pick.Server)
 	start := time.Now()
 	response, connected, err := s.attempt(ctx, cancel, x, pick, plan)
 	result.FirstByte = time.Since(start)
@@ -99,6 +98,7 @@
 	}
 	x.runs++
 	pick.RecordFirstByte(result.FirstByte)
+	s.recordBegun(x)
 	comparison := s.newComparison(x, pick, plan, start)
 	comparison.recordFirstByte(result.FirstByte)
 	s.sessions.record(x.sessionKey(), pick.Version)
@@ -112,7 +112,6 @@
 	} else {
 		v, result.Outcome = s.relayPlain(ctx, x, pick, response, head)
 	}
-	s.timeFactors.observe(plan.model(), x.head.PromptTokens, result.FirstByte)
 	comparison.recordOutcome(result)
 	return v
 }
@@ -292,7 +291,7 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		defer time.AfterFunc(completeTimeout, func() { _ = response.Body.Close() }).Stop()
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeldReplyBytes+1))
+	body, complete, err := s.readHeld(x, response.Body)
 	if err != nil {
 		if endedLocally(ctx) {
 			return verdictFinal, crlfleet.OutcomeNeutral
@@ -313,7 +312,7 @@
 	if x.route.Kind != crlroute.KindStream {
 		s.recordStart(x, nil)
 	}
-	if len(body) > maxHeldReplyBytes {
+	if !complete {
 		return s.relayOversized(x, answer, response)
 	}
 	answer.write(x.writer)
@@ -336,11 +335,11 @@
 // repeated, the larger model is expected to start within the latency objective, and the retry budget allows it.
 func (s *Service) shouldEscalate(x *exchange, head AnswerHead, plan *modelPlan) bool {
 	if !plan.canEscalate() || x.stream.started || x.sends >= x.route.Attempts || !x.route.Repeatable() ||
-		head.Confidence == NoConfidence || head.Confidence >= escalateBelowConfidence {
+		head.Confidence == NoConfidence || head.Confidence >= escalateBelowConfidence || !s.allowsLargerModel(x) {
 		return false
 	}
-	factor := s.timeFactors.factor(plan.largest(), plan.models)
-	expected := x.estimate(factor).firstByte + s.config.Fleet.ExpectedWait(x.service.Name)
+	cost := s.estimate(x, plan.largest(), plan)
+	expected := cost.firstByte + s.config.Fleet.ExpectedWait(x.service.Name, cost.workSeconds)
 	if x.route.Objective > 0 && time.Since(x.arrived)+expected > time.Duration(objectiveFraction*float64(x.route.Objective)) {
 		return false
 	}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -11,11 +11,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cranberrylock/cranberrylock/crladmission"
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpace"
 	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
 	"github.com/cranberrylock/cranberrylock/crlroute"
@@ -34,8 +36,10 @@
 	State              func() State // returns the newest known configuration; called for each request
 	Fleet              *crlfleet.Fleet
 	Rollouts           *crlrollout.Tracker
+	Admission          func() bool             // whether admission control applies; nil for always
 	Quarantine         *crlquarantine.Registry // what crashes servers; nil for one that only this Service feeds
 	Retries            *crlbudget.RetryBudget
+	Pace               *crlpace.Estimator // learns the costs of requests to model engines; nil for one that only this Service feeds
 	Transport          http.RoundTripper
 	Probe              Probe         // checks unresponsive servers; nil opens a TCP connection
 	Domain             crlid.Domain  // failure domain of this daemon
@@ -49,16 +53,20 @@
 	MaxDenialAge    time.Duration
 	SessionTimeout  time.Duration // time without a request after which a session has ended
 	MaxOpenRequests int           // limit of requests being handled, above which further ones are refused
+	// MaxHeldBytes limits what is held of plain answers for all callers together; 0 for no limit. An answer that exceeds it is relayed as it
+	// arrives, so that it can't be replaced by another server's.
+	MaxHeldBytes int64
 }
 
 // Service forwards requests to backend servers. It is an http.Handler.
 type Service struct {
 	config       Config
 	sessions     *sessions
-	timeFactors  *timeFactors
 	probes       *probes
 	reachability *reachability
 	handovers    *handovers
+	admission    *crladmission.Controller
+	held         heldBytes
 	openRequests atomic.Int64
 	lastArrival  atomic.Int64 // time of the newest request, in nanoseconds since the Unix epoch
 	draining     atomic.Bool
@@ -72,9 +80,12 @@
 	if config.Quarantine == nil {
 		config.Quarantine = crlquarantine.New(crlquarantine.Config{Now: config.Now})
 	}
+	if config.Pace == nil {
+		config.Pace = crlpace.New(crlpace.Config{Self: crlid.NewIncarnation(), Now: config.Now})
+	}
 	s := &Service{
-		config: config, sessions: newSessions(config.SessionTimeout), timeFactors: newTimeFactors(), probes: newProbes(config.Probe),
-		handovers: newHandovers(config.Now),
+		config: config, sessions: newSessions(config.SessionTimeout), probes: newProbes(config.Probe),
+		handovers: newHandovers(config.Now), admission: newAdmission(config.Fleet), held: heldBytes{limit: config.MaxHeldBytes},
 	}
 	s.reachability = &reachability{
 		now: config.Now, addresses: config.Fleet.Addresses, probe: s.probes.probe, log: config.Log, failed: make(map[string]bool),
@@ -149,6 +160,8 @@
 	lastFailure   *reply                  // last answer with a 5xx status
 	fallback      *reply                  // complete answer of a smaller model, sent if the larger model does not answer
 	fallbackTimer *time.Timer             // ends a send in time for the fallback; nil without one
+	admission     admission
+	heldBytes     int64 // counted in Service.held
 	stream        stream
 	trace         trace
 }
@@ -169,6 +182,7 @@
 	s.lastArrival.Store(x.arrived.UnixNano())
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
+	defer s.releaseHeld(x)
 	if s.closed.Load() {
 		s.refuse(x, unavailable(ReasonDraining, drainingRetryAfter))
 		return
@@ -232,7 +246,7 @@
 func (s *Service) findRoute(_ context.Context, x *exchange) *Refusal {
 	state := s.config.State()
 	if state.Table == nil {
-		return unavailable(ReasonNoConfiguration, notReadyRetryAfter)
+		return s.notReady(x, ReasonNoConfiguration, notReadyRetryAfter)
 	}
 	x.table, x.tableAge = state.Table, s.config.Now().Sub(state.AppliedAt)
 	x.path, _, _ = strings.Cut(x.request.RequestURI, "?")
@@ -250,7 +264,7 @@
 		return denial
 	}
 	x.trace.confirmationAge = age
-	return unavailable(ReasonUnconfirmed, unconfirmedRetryAfter)
+	return s.notReady(x, ReasonUnconfirmed, unconfirmedRetryAfter)
 }
 
 // authenticate finds the organisation that the caller's API key belongs to, unless the route or the table needs no key.
@@ -274,15 +288,15 @@
 	}
 	if age := s.config.Now().Sub(s.config.State().ConfirmedAt); age > s.config.MaxConfirmationAge {
 		x.trace.confirmationAge = age
-		return unavailable(ReasonUnconfirmed, unconfirmedRetryAfter)
+		return s.notReady(x, ReasonUnconfirmed, unconfirmedRetryAfter)
 	}
 	return nil
 }
 
 // checkOverload refuses the request if too many are open. Its body takes memory, so it is not read before.
-func (s *Service) checkOverload(context.Context, *exchange) *Refusal {
+func (s *Service) checkOverload(_ context.Context, x *exchange) *Refusal {
 	if int(s.openRequests.Load()) > s.config.MaxOpenRequests {
-		return unavailable(ReasonOverloaded, overloadRetryAfter)
+		return s.notReady(x, ReasonOverloaded, overloadRetryAfter)
 	}
 	return nil
 }
--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -36,8 +36,16 @@
 	ReaderCount = 2
 )
 
-// EventSource is logged when a follower switches to another source.
-const EventSource crllog.Event = "relay-source"
+// Log events of a follower.
+const (
+	// EventSource is logged when a follower switches to another source.
+	EventSource crllog.Event = "relay-source"
+	// EventCall is logged for a call that brought no confirmation within MaxAge, and for one that took longer than the source held it by slowCall.
+	EventCall crllog.Event = "relay-call"
+)
+
+// slowCall is the time beyond the held one from which a successful call is logged, many times a round trip between failure domains.
+const slowCall = 250 * time.Millisecond
 
 // FollowerConfig configures a Follower.
 type FollowerConfig struct {
@@ -49,7 +57,10 @@
 	Log          *crllog.Logger
 	StoreFailing func() bool             // whether this daemon's own reads of the store fail
 	MaxAge       map[Topic]time.Duration // greatest age of each topic's confirmation; if it is older, the follower tries another source
-	Exchange     Exchange                // nil for none
+	// Bound is the time that the deployment allows for a change of each topic to reach all daemons; topics without one have none. The search for a
+	// source is laid out such that it ends within the bound.
+	Bound    map[Topic]time.Duration
+	Exchange Exchange // nil for none
 }
 
 // Follower keeps this daemon's replicas up to date from those of another daemon, the source.
@@ -71,7 +82,9 @@
 	exchangedWith crlid.Incarnation
 	failures      int // calls without usable confirmations, reset retryPreferredAfter after the latest; selects the source
 	lastFailure   crlclock.Instant
-	cause         string // why the latest call failed, or its confirmations were too old
+	failedAt      map[string]crlclock.Instant // by address: the latest call without usable confirmations, since failures was 0
+	attempts      int                         // calls without usable confirmations since the latest with them
+	cause         string                      // why the latest call failed, or its confirmations were too old
 }
 
 // NewFollower returns a Follower without a roster or seeds.
@@ -79,7 +92,7 @@
 	if config.Exchange == nil {
 		config.Exchange = noExchange{}
 	}
-	f := &Follower{config: config, cursors: make(map[Topic]Cursor), drawn: rand.Float64()}
+	f := &Follower{config: config, cursors: make(map[Topic]Cursor), failedAt: make(map[string]crlclock.Instant), drawn: rand.Float64()}
 	f.place = findPlace(f.roster, f.seeds, config.Self)
 	return f
 }
@@ -98,6 +111,8 @@
 	defer f.mu.Unlock()
 	if roster.Generation >= f.roster.Generation {
 		f.roster = roster
+		f.roster.knownDigest = 0 // The caller may have changed a roster that was held.
+		f.roster.knownDigest = f.roster.digest()
 		f.place = findPlace(f.roster, f.seeds, f.config.Self)
 	}
 }
@@ -159,7 +174,11 @@
 	if f.freshUntil == 0 {
 		return 0
 	}
-	return time.Duration(f.drawn * float64(min(maxPatience, time.Duration(len(f.roster.Members))*patiencePerMember)))
+	longest := min(maxPatience, time.Duration(len(f.roster.Members))*patiencePerMember)
+	if search := f.searchTime(); search > 0 {
+		longest = min(longest, search/2)
+	}
+	return time.Duration(f.drawn * float64(longest))
 }
 
 // Run follows one source at a time until ctx ends.
@@ -170,14 +189,20 @@
 			crlclock.Sleep(ctx, sourceCheckInterval)
 			continue
 		}
-		if !f.follow(ctx, source) {
+		sentAt := f.config.Now()
+		if f.follow(ctx, source) {
+			f.attempts = 0
+		} else {
 			f.failures++
+			f.attempts++
 			f.lastFailure = f.config.Now()
-			crlclock.Sleep(ctx, min(retryPauseStep*time.Duration(f.failures), FollowWait))
+			f.failedAt[source.Address] = f.lastFailure
+			crlclock.Sleep(ctx, f.retryPause()-f.lastFailure.Sub(sentAt))
 		}
 		// Return to the preferred source, as it may have recovered.
 		if f.config.Now().Sub(f.lastFailure) > retryPreferredAfter {
 			f.failures = 0
+			clear(f.failedAt)
 		}
 	}
 	return ctx.Err()
@@ -198,7 +223,7 @@
 	if len(f.place.sources) == 0 {
 		return Member{}, false
 	}
-	return f.place.sources[sourceIndex(f.failures, len(f.place.sources), f.place.preferred)], true
+	return f.selectSource(), true
 }
 
 // ownFreshUntil returns until when the confirmations of all this daemon's replicas are within MaxAge.
@@ -218,17 +243,22 @@
 		f.source, f.incarnation, f.sourceBehind = source, "", false
 		clear(f.cursors)
 		f.config.Log.Event(EventSource, slog.String("source", source.Address), slog.Int("given-up", f.failures),
-			slog.String("cause", f.cause))
+			slog.String("cause", f.cause), slog.Int64("generation", f.Roster().Generation),
+			slog.Duration("left-ms", f.ownFreshUntil().Sub(f.config.Now())))
 	}
 	var response FollowResponse
 	sentAt := f.config.Now()
 	isNew := f.incarnation == "" || f.exchangedWith != f.incarnation
+	wait, limit := f.callTimes()
+	ctx, stop := withLimit(ctx, limit)
+	defer stop()
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, FollowRequest{
-		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), MaxWait: Milliseconds(FollowWait.Milliseconds()), RosterDigest: f.Roster().digest(),
-		Self: f.selfWithoutRoster(), Roster: f.rosterForSource(), Exchange: f.config.Exchange.Request(isNew), Decompresses: true,
+		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), MaxWait: Milliseconds(wait.Milliseconds()), RosterDigest: f.Roster().digest(),
+		Self: f.selfWithoutRoster(), Roster: f.rosterForSource(), Exchange: f.config.Exchange.Request(isNew), Await: f.await(), Decompresses: true,
 	}, &response)
 	if err != nil {
 		f.cause = err.Error()
+		f.logCall(response, sentAt, false)
 		return false
 	}
 	f.heard.Store(true)
@@ -247,7 +277,30 @@
 		f.redirectTo(response.Sources)
 		return true
 	}
-	return f.apply(response, sentAt)
+	fresh := f.apply(response, sentAt)
+	f.logCall(response, sentAt, fresh)
+	return fresh
+}
+
+// logCall logs a call that ended now, unless it was as expected. age-ms is that of the source's oldest confirmation when it replied, negative if the
+// source had none or didn't reply.
+func (f *Follower) logCall(response FollowResponse, sentAt crlclock.Instant, fresh bool) {
+	took, held := f.config.Now().Sub(sentAt), time.Duration(response.HeldFor)*time.Millisecond
+	if fresh && took-held < slowCall {
+		return
+	}
+	age := Milliseconds(-1)
+	for topic, replica := range f.config.Replicas {
+		if delta, ok := response.Topics[topic]; ok && !replica.config.Optional {
+			age = max(age, delta.ConfirmationAge)
+		}
+	}
+	cause := f.cause
+	if fresh {
+		cause = "slow"
+	}
+	f.config.Log.Event(EventCall, slog.String("source", f.source.Address), slog.String("cause", cause), slog.Duration("call-ms", took),
+		slog.Duration("held-ms", held), slog.Int64("age-ms", int64(age)), slog.Int64("generation", f.Roster().Generation))
 }
 
 // redirectTo makes the given daemons the sources until a roster is known.
@@ -301,7 +354,6 @@
 		}
 	}
 	freshUntil := crlclock.Instant(math.MaxInt64)
-	detour := f.detour()
 	for _, topic := range f.config.ApplyOrder {
 		replica := f.config.Replicas[topic]
 		delta, ok := response.Topics[topic]
@@ -324,7 +376,7 @@
 		if replica.config.Optional {
 			continue
 		}
-		maxAge := f.config.MaxAge[topic] + detour
+		maxAge := f.maxAge(topic)
 		if age := f.config.Now().Sub(confirmedAt); age > maxAge {
 			f.cause = fmt.Sprintf("%s was last confirmed %s ago", topic, age.Round(time.Millisecond))
 		}
@@ -336,13 +388,6 @@
 	return freshUntil > f.config.Now()
 }
 
-// detour returns how much older than a direct follower's this daemon's confirmations may be, as they come over further daemons.
-func (f *Follower) detour() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Duration(max(f.place.depth-1, 0)) * FollowWait
-}
-
 // Self returns this daemon as a member of the roster.
 func (f *Follower) Self() Member { return f.config.Self }
 
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -26,10 +26,18 @@
 	Roster       *Roster                `json:"members,omitempty"`  // the follower's roster, if it is newer than the source's
 	RosterDigest uint64                 `json:"roster"`             // digest of the roster that the follower has
 	Exchange     json.RawMessage        `json:"exchange,omitempty"` // message of the follower's Exchange
+	// Await names a confirmation whose renewal ends the call; nil for none. Daemons of earlier versions ignore it.
+	Await *Await `json:"await,omitempty"`
 	// Decompresses reports whether the follower takes compressed records; daemons of earlier versions don't.
 	Decompresses bool `json:"decompresses,omitempty"`
 }
 
+// Await names a topic of which a follower needs a newer confirmation.
+type Await struct {
+	Topic Topic        `json:"topic"`
+	Age   Milliseconds `json:"age-ms"` // of the follower's confirmation
+}
+
 // FollowResponse is the reply to a FollowRequest.
 type FollowResponse struct {
 	Source  crlid.Incarnation    `json:"source"`
@@ -62,6 +70,8 @@
 type Roster struct {
 	Generation int64    `json:"generation"` // generation of the group, as the store numbers it
 	Members    []Member `json:"members"`
+	// knownDigest is the digest of a roster that is held, 0 if it has to be computed: each call and each reply needs it.
+	knownDigest uint64
 }
 
 // Has reports whether the roster lists the member's address.
@@ -72,6 +82,9 @@
 // digest returns a hash of the generation and the members' addresses. The generation alone does not identify a roster: lists
 // that are read while the store reassigns partitions can differ within one generation.
 func (r Roster) digest() uint64 {
+	if r.knownDigest != 0 {
+		return r.knownDigest
+	}
 	hash := xxhash.New()
 	for _, m := range r.Members {
 		// Writes to a hash never fail.
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -22,10 +22,12 @@
 	"github.com/cranberrylock/cranberrylock/crlforward"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpace"
 	"github.com/cranberrylock/cranberrylock/crlpeer"
 	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlrelay"
 	"github.com/cranberrylock/cranberrylock/crlrollout"
+	"github.com/cranberrylock/cranberrylock/crlworkload"
 )
 
 // Topics are the names of the store's topics that the router reads.
@@ -68,7 +70,9 @@
 	reporter   *statusReporter
 	members    *membership
 	follower   *crlrelay.Follower
-	evidence   *evidenceExchange
+	workload   *crlworkload.Table
+	exchanges  *exchanges
+	pace       *crlpace.Estimator
 	quarantine *quarantineLedger
 	replicas   map[crlrelay.Topic]*crlrelay.Replica
 	fleet      *crlfleet.Fleet
@@ -99,16 +103,9 @@
 		Self: r.incarnation, Daemons: func() int { return r.follower.Count() }, Alone: func() bool { return r.isAlone() }, Exposure: s.Bounds.Exposure,
 		ExposureSlack: s.Bounds.ExposureSlack,
 	})
-	r.evidence = newEvidenceExchange(rollouts, config.Clock, config.Logger)
-	r.follower = crlrelay.NewFollower(crlrelay.FollowerConfig{
-		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
-		Replicas: r.replicas, ApplyOrder: topicApplyOrder, Peers: config.Peers, Now: config.Clock, Log: config.Logger,
-		StoreFailing: func() bool { return r.failingTopics.Load() > 0 },
-		MaxAge: map[crlrelay.Topic]time.Duration{
-			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
-		},
-		Exchange: r.evidence,
-	})
+	r.pace = crlpace.New(crlpace.Config{Self: r.incarnation, Now: config.Clock})
+	r.workload, r.exchanges = r.newExchanges(rollouts)
+	r.follower = r.newFollower()
 	r.follower.SetSeeds(s.Seeds)
 	r.members = &membership{
 		store: config.Store, follower: r.follower, logger: config.Logger, now: config.Clock,
@@ -116,7 +113,7 @@
 	}
 	r.fleet = crlfleet.New(crlfleet.Config{
 		Domain: s.Domain, Slots: r.members.slots, Daemons: r.follower.Count, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
-		Now: config.Clock, OnTransition: logTransition(config.Logger),
+		Loads: r.workload, Now: config.Clock, OnTransition: logTransition(config.Logger),
 	})
 	r.orders = &orderProcessor{
 		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, logger: config.Logger, tableOffset: crlid.NoOffset,
@@ -132,6 +129,7 @@
 	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{
 		OnChange: r.servers.apply, Same: r.servers.sameEntry, Now: config.Clock, OutageAfter: outageThreshold, Settle: lapseGracePeriod,
 	})
+	r.fleet.LimitEntryAge(r.replicas[topicServers].ConfirmedAt, s.Bounds.drain())
 	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: r.reporter.apply, Now: config.Clock})
 	r.replicas[topicStatus] = r.reporter.replica
 	r.quarantine = r.newQuarantineLedger()
@@ -144,15 +142,30 @@
 		Retries: crlbudget.NewRetryBudget(crlbudget.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Share: r.members.share,
 		}),
-		Transport: config.Transport, Probe: config.Probe, Log: config.Logger, Metrics: crlforward.NewMetrics(r.registry),
+		Admission: r.fleet.IsLarge, Transport: config.Transport, Pace: r.pace, Probe: config.Probe, Log: config.Logger, Metrics: crlforward.NewMetrics(r.registry),
 		Now: config.Clock, MaxConfirmationAge: confirmationAge, MaxDenialAge: s.Bounds.configuration(), SessionTimeout: s.Bounds.SessionTimeout,
 		// Open requests may use half of the memory limit.
 		MaxOpenRequests: max(int(float64(s.MemoryBytes)*memoryLimitFraction/2/requestMemoryBytes), minOpenRequests),
+		MaxHeldBytes:    max(int64(float64(s.MemoryBytes)*memoryLimitFraction/4), minHeldBytes),
 	})
-	r.registry.MustRegister(r.gauges()...)
+	r.registry.MustRegister(append(r.gauges(), r.exchangeCounters()...)...)
 	return r
 }
 
+// newFollower returns the follower that keeps the router's replicas up to date.
+func (r *Router) newFollower() *crlrelay.Follower {
+	s := r.config.Settings
+	return crlrelay.NewFollower(crlrelay.FollowerConfig{
+		Self:     crlrelay.Member{Address: s.PeerListen, Domain: s.Domain, Strength: s.Strength},
+		Replicas: r.replicas, ApplyOrder: topicApplyOrder, Peers: r.config.Peers, Now: r.config.Clock, Log: r.config.Logger,
+		StoreFailing: func() bool { return r.failingTopics.Load() > 0 },
+		MaxAge: map[crlrelay.Topic]time.Duration{
+			topicOrders: s.Bounds.ordersMaxAge(), topicServers: s.Bounds.serversMaxAge(), topicStatus: 2*statusLongPoll + maxRelayDelay,
+		},
+		Bound: map[crlrelay.Topic]time.Duration{topicOrders: s.Bounds.configuration(), topicServers: s.Bounds.drain()}, Exchange: r.exchanges,
+	})
+}
+
 // newQuarantineLedger returns the ledger of suspected parts with its replica.
 func (r *Router) newQuarantineLedger() *quarantineLedger {
 	l := &quarantineLedger{
@@ -166,6 +179,12 @@
 	return l
 }
 
+// hasEngines reports whether the configuration in force has services of model engines.
+func (r *Router) hasEngines() bool {
+	current := r.orders.current.Load()
+	return current != nil && current.table != nil && current.table.HasEngines()
+}
+
 // isAlone reports whether neither the store nor any other router is known to be reachable.
 func (r *Router) isAlone() bool { return r.follower.ShouldReadStore() && r.failingTopics.Load() > 0 }
 
@@ -217,6 +236,7 @@
 
 const (
 	defaultConfirmationAge = time.Minute // longest accepted age of a confirmation in deployments without a bound on revocation
+	minHeldBytes           = 16 << 20    // lower bound of MaxHeldBytes, for the same settings
 	minOpenRequests        = 64          // lower bound of MaxOpenRequests, for settings that state little or no memory
 )
 
@@ -233,6 +253,7 @@
 		gauge("quarantined_parts", "Parts of prompts and requests that are kept from backend servers.", func() float64 {
 			return float64(r.quarantine.registry.Quarantined())
 		}),
+		gauge("load_known_routers", "Other routers whose load of model engines is known.", func() float64 { return r.workload.Known(r.config.Clock()) }),
 		gauge("log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(r.config.Logger.Dropped()) }),
 	}
 }
@@ -246,6 +267,8 @@
 	EventAbort  crllog.Event = "abort" // logged when the grace time ends with open requests
 	// EventUnanswered is logged when the router closes a connection after a request has begun to arrive, without an answer.
 	EventUnanswered crllog.Event = "unanswered"
+	// EventStalled is logged when the router aborts an answer because its caller doesn't read it.
+	EventStalled crllog.Event = "caller-stalled"
 )
 
 // Run serves until ctx ends or a task fails, and then drains open requests. It returns nil after a drain that the end of ctx
@@ -345,7 +368,7 @@
 	mux := crlpeer.NewMux()
 	mux.Register(crlrelay.MethodFollow, crlpeer.Typed(crlrelay.NewServer(crlrelay.ServerConfig{
 		Address: s.PeerListen, Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, UpdateRoster: r.follower.UpdateRoster,
-		Now: r.config.Clock, Exchange: r.evidence,
+		Now: r.config.Clock, Exchange: r.exchanges,
 	}).Follow))
 	group.Add(func() error { return mux.Serve(taskCtx, peers) }, func(error) { _ = peers.Close() })
 	probe := &http.Server{Handler: r.probeHandler(), ReadHeaderTimeout: probeHeaderTimeout}
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,9 +86,11 @@
 type peerNetwork struct {
 	mu      sync.Mutex
 	servers map[string]*crlrelay.Server
+	calls   atomic.Int64
 }
 
 func (p *peerNetwork) Call(ctx context.Context, address string, _ crlpeer.Method, params, result any) error {
+	p.calls.Add(1)
 	p.mu.Lock()
 	server, ok := p.servers[address]
 	p.mu.Unlock()
@@ -181,7 +184,7 @@
 	})
 	c.serve(ctx, n, crlrelay.NewServer(crlrelay.ServerConfig{
 		Address: address(n), Self: started.incarnation, Replicas: started.replicas, Roster: started.follower.Roster,
-		UpdateRoster: started.follower.UpdateRoster, Now: c.clock, Exchange: started.evidence,
+		UpdateRoster: started.follower.UpdateRoster, Now: c.clock, Exchange: started.exchanges,
 	}))
 	for _, task := range started.tasks() {
 		go func() { _ = task(ctx) }()
