Bound the load of a server in messages to what receivers accept

Cause: a receiver ignores a whole message as implausible if one server has over 100,000 requests, 300 s of unread prompts or 3,000,000 tokens, but the sender didn't bound its sums. The codes also round 3,000,000 tokens up to 3,014,656. A server that is overloaded, or one with memory for more tokens, hid the load of all other servers from the routers beyond it.

Change: Request and the reply bound each server's amounts to the largest plausible code. Receivers are unchanged, so that messages of the same layout from earlier builds are checked as before.

Evidence: TestOverloadedServerHidesNoOther failed before (each daemon ignored the messages and held no load of the other server) and passes now, as do the other tests of crlworkload.

--- a/crlworkload/exchange.go
+++ b/crlworkload/exchange.go
@@ -46,6 +46,7 @@
 	sum := t.collect(now, 0, false)
 	t.addOwn(sum, now)
 	t.limit(sum)
+	sum.bound()
 	if sum.isEmpty() && !t.sent.load && now >= t.awakeUntil {
 		return nil
 	}
@@ -140,6 +141,7 @@
 	sum := t.collect(now, follower.daemon, true)
 	t.addOwn(sum, now)
 	t.limit(sum)
+	sum.bound()
 	preamble, content := encodeLoad(sum, follower.known)
 	h := t.nextHeader(messageLoad)
 	h.path = append(t.sourcePath(now), h.path...)
--- a/crlworkload/message.go
+++ b/crlworkload/message.go
@@ -293,6 +293,31 @@
 	return keys
 }
 
+// Largest amounts of a server that a message can state and its receiver takes.
+var (
+	largestRequests = largestCoded(maxServerRequests, 1)
+	largestSeconds  = largestCoded(maxServerSeconds, promptUnit)
+	largestTokens   = largestCoded(maxServerTokens, tokenUnit)
+)
+
+// largestCoded returns the largest number with a code that isn't above the limit.
+func largestCoded(limit, unit float64) float64 {
+	c := encodeNumber(limit, unit)
+	if c.value(unit) > limit {
+		c--
+	}
+	return c.value(unit)
+}
+
+// bound reduces the amounts of servers to plausible ones. Receivers ignore a whole message if one server has more, so that a single overloaded
+// server would hide the load of all others.
+func (l *load) bound() {
+	for i := range l.servers {
+		a := &l.servers[i].amount
+		a.Requests, a.PromptSeconds, a.Tokens = min(a.Requests, largestRequests), min(a.PromptSeconds, largestSeconds), min(a.Tokens, largestTokens)
+	}
+}
+
 // isPlausible reports whether servers can have the load.
 func (l *load) isPlausible() bool {
 	for _, s := range l.servers {
--- a/crlworkload/table_test.go
+++ b/crlworkload/table_test.go
@@ -282,6 +282,31 @@
 	}
 }
 
+// TestOverloadedServerHidesNoOther guards against messages that receivers ignore as a whole because the sum of one server is beyond the
+// bound of a plausible one.
+func TestOverloadedServerHidesNoOther(t *testing.T) {
+	for _, much := range []Amount{{Requests: 150_000}, {Requests: 200, PromptSeconds: 400}, {Requests: 200, Tokens: 3_000_000}, {Requests: 300, Tokens: 5_000_000}} {
+		g := newGroup(6, rand.New(rand.NewPCG(1, 2)))
+		g.tables[4].Begin(testServer(0), much)
+		g.tables[4].Begin(testServer(1), Amount{Requests: 7})
+		g.run(3 * time.Second)
+		for n, table := range g.tables {
+			if n == 4 {
+				continue
+			}
+			overloaded, _ := table.Others(testServer(0), g.now)
+			other, _ := table.Others(testServer(1), g.now)
+			if other.Requests != 7 || overloaded.Requests < 0.9*min(much.Requests, maxServerRequests) ||
+				overloaded.PromptSeconds < 0.9*min(much.PromptSeconds, maxServerSeconds) || overloaded.Tokens < 0.9*min(much.Tokens, maxServerTokens) {
+				t.Errorf("%+v: daemon %d holds %+v of that server, and %+v of one with 7 requests", much, n, overloaded, other)
+			}
+			if drops := table.Drops(); drops.Implausible > 0 {
+				t.Errorf("%+v: daemon %d ignored %d messages", much, n, drops.Implausible)
+			}
+		}
+	}
+}
+
 // TestKnownServersAreLeftOut guards against replies that list the same servers each time, and against amounts that are added to the wrong servers
 // if the receiver has another list, for example after its restart.
 func TestKnownServersAreLeftOut(t *testing.T) {
