Date no confirmation of a source into the future

Cause: a follower computed the moment of a confirmation from the held time and the age that its source stated, unchecked. A held time longer than the call, or an age that overflows a duration, gave a moment after now. As a replica keeps its latest confirmation, the copy then looked fresh without a source until that moment, and the follower's own followers got a negative age, which means none. A source whose clock runs faster, or one of another version, can send this.

Evidence: TestConfirmationIsNeverFromTheFuture failed before in 5 of 6 cases (confirmed 59m59.89s from now; an age of MaxInt64 ms was usable) and passes now, as do the other tests of crlrelay.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -371,7 +371,7 @@
 			replica.Apply(records, delta.End)
 		}
 		f.cursors[topic] = delta.Cursor
-		confirmedAt := sentAt.Add(time.Duration(response.HeldFor-delta.ConfirmationAge) * time.Millisecond)
+		confirmedAt := f.confirmedAt(sentAt, response.HeldFor, delta.ConfirmationAge)
 		replica.Confirm(confirmedAt)
 		if replica.config.Optional {
 			continue
@@ -388,6 +388,17 @@
 	return freshUntil > f.config.Now()
 }
 
+// longestAge bounds the ages of confirmations in messages, so that computing with them doesn't overflow.
+const longestAge = 24 * time.Hour
+
+// confirmedAt returns the moment from which a confirmation dates, for a call that was sent at sentAt. A source can't have held the call for longer than
+// it took: a confirmation from the future would replace all later ones and make the copy look fresh without a source.
+func (f *Follower) confirmedAt(sentAt crlclock.Instant, heldFor, age Milliseconds) crlclock.Instant {
+	held := min(max(heldFor, 0), Milliseconds(f.config.Now().Sub(sentAt).Milliseconds()))
+	age = min(age, Milliseconds(longestAge.Milliseconds()))
+	return sentAt.Add(time.Duration(held-age) * time.Millisecond)
+}
+
 // Self returns this daemon as a member of the roster.
 func (f *Follower) Self() Member { return f.config.Self }
 
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -231,6 +232,46 @@
 	}
 }
 
+// misstatingCaller replies once to each call, with a given held time and age of the confirmation.
+type misstatingCaller struct{ heldFor, age Milliseconds }
+
+func (c misstatingCaller) Call(ctx context.Context, _ string, _ crlpeer.Method, _, result any) error {
+	crlclock.Sleep(ctx, 100*time.Millisecond)
+	*result.(*FollowResponse) = FollowResponse{
+		Source: "a", HeldFor: c.heldFor, Topics: map[Topic]TopicDelta{testTopic: {Full: true, Cursor: 1, End: 1, ConfirmationAge: c.age}},
+	}
+	return nil
+}
+
+// TestConfirmationIsNeverFromTheFuture guards against a source that states to have held a call for longer than it took, or an age that
+// overflows: the copy would look fresh from then on, even without a source.
+func TestConfirmationIsNeverFromTheFuture(t *testing.T) {
+	for _, c := range []misstatingCaller{
+		{heldFor: 3_600_000, age: 10},
+		{heldFor: math.MaxInt64, age: 0},
+		{heldFor: 0, age: math.MaxInt64},
+		{heldFor: math.MinInt64, age: math.MaxInt64},
+		{heldFor: 0, age: math.MaxInt64 / 500_000},
+		{heldFor: math.MaxInt64, age: math.MaxInt64},
+	} {
+		t.Run(fmt.Sprint(c.heldFor, " ", c.age), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDaemon("b", crlclock.NewMonotonic())
+				time.Sleep(48 * time.Hour)
+				f := newFollower(d, nil, "b", "a", "x", "b")
+				f.config.Peers = c
+				usable := f.follow(t.Context(), Member{Address: "a"})
+				if at := d.replica.ConfirmedAt(); at > d.now() {
+					t.Errorf("the copy was confirmed %s from now", at.Sub(d.now()))
+				}
+				if old := c.age > 2000; usable == old {
+					t.Errorf("a confirmation with an age of %d ms is usable: %v", c.age, usable)
+				}
+			})
+		})
+	}
+}
+
 // TestFollowerReadsTheStoreWithoutAFreshPeer checks that a daemon falls back to the store while no peer sends it a fresh
 // confirmation, and stops reading the store once one does.
 func TestFollowerReadsTheStoreWithoutAFreshPeer(t *testing.T) {
