Reject server keys in messages that are out of range

Cause: the keys of a list are stated as differences, each of at most 20 bits, but their sum wasn't checked. 4,096 of the largest differences wrap around to 0, which leaves the list unsorted; a router that adds such a sum to its own sends differences that its receivers reject, and so loses the load of its whole subtree.

Change: a key beyond 20 bits makes the message malformed. No router sends one, as keys are hashes of 20 bits.

--- a/crlworkload/message.go
+++ b/crlworkload/message.go
@@ -288,6 +288,7 @@
 		step := serverKey(r.uvarint(1 << serverKeyBits))
 		r.failed = r.failed || step == 0 && len(keys) > 0 // Each server is listed once.
 		key += step
+		r.failed = r.failed || key >= 1<<serverKeyBits // A sum that wraps around would leave the list unsorted.
 		keys = append(keys, key)
 	}
 	return keys
--- a/crlworkload/table_test.go
+++ b/crlworkload/table_test.go
@@ -1,10 +1,13 @@
 package crlworkload
 
 import (
+	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -336,6 +339,32 @@
 	}
 }
 
+// TestKeysOutOfRangeAreMalformed guards against a list whose keys wrap around, so that it isn't sorted: each message that passes on its sum
+// would be malformed too.
+func TestKeysOutOfRangeAreMalformed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []uint64
+		want  error
+	}{
+		{"largest key", []uint64{1<<serverKeyBits - 1}, nil},
+		{"beyond the largest", []uint64{1 << serverKeyBits}, errMalformed},
+		{"beyond the largest in steps", []uint64{5, 1<<serverKeyBits - 5}, errMalformed},
+		{"wraps around", slices.Repeat([]uint64{1 << serverKeyBits}, maxServers), errMalformed},
+	} {
+		body := []byte{1, 0, 16} // depth, age and one daemon
+		body = binary.AppendUvarint(body, uint64(len(c.steps)+1))
+		for _, step := range c.steps {
+			body = binary.AppendUvarint(body, step)
+		}
+		body = append(body, make([]byte, 3*len(c.steps)+1)...) // Amounts, and no services.
+		message := encodeMessage(header{daemon: 99, path: []uint64{3}, sequence: 5}, body)
+		if _, _, err := decodeMessage(message, nil); !errors.Is(err, c.want) {
+			t.Errorf("%s: error %v, want %v", c.name, err, c.want)
+		}
+	}
+}
+
 // TestAnyTextIsDecodedOrDropped guards against panics and unbounded memory on damaged messages.
 func TestAnyTextIsDecodedOrDropped(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
