Pause between replies in a row that name other sources

Cause: a reply that names other sources counts as a success, so a starting daemon made the next call at once. Two daemons whose rosters differ may name each other to it; it then called them without a pause until their rosters were the same.

Change: from the second such reply in a row on, the daemon pauses for 50 ms, and 50 ms more with each, up to FollowWait. The first one, which is the usual one, has no pause.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -84,6 +84,7 @@
 	lastFailure   crlclock.Instant
 	failedAt      map[string]crlclock.Instant // by address: the latest call without usable confirmations, since failures was 0
 	attempts      int                         // calls without usable confirmations since the latest with them
+	redirects     int                         // latest replies in a row that named other sources
 	cause         string                      // why the latest call failed, or its confirmations were too old
 }
 
@@ -192,6 +193,7 @@
 		sentAt := f.config.Now()
 		if f.follow(ctx, source) {
 			f.attempts = 0
+			crlclock.Sleep(ctx, f.redirectPause())
 		} else {
 			f.failures++
 			f.attempts++
@@ -275,8 +277,10 @@
 	}
 	if len(response.Sources) > 0 {
 		f.redirectTo(response.Sources)
+		f.redirects++
 		return true
 	}
+	f.redirects = 0
 	fresh := f.apply(response, sentAt)
 	f.logCall(response, sentAt, fresh)
 	return fresh
@@ -313,6 +317,12 @@
 	}
 }
 
+// redirectPause returns the time from a reply to the next call. It is 0 unless several replies in a row named other sources: daemons with different
+// rosters may name each other, and would be called without a pause until their rosters are the same.
+func (f *Follower) redirectPause() time.Duration {
+	return min(retryPauseStep*time.Duration(max(f.redirects-1, 0)), FollowWait)
+}
+
 // selfWithoutRoster returns this daemon while it knows no roster, and nil afterwards.
 func (f *Follower) selfWithoutRoster() *Member {
 	if len(f.Roster().Members) > 0 {
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -272,6 +272,39 @@
 	}
 }
 
+// redirectingCaller names another source in each reply and counts the calls.
+type redirectingCaller struct{ calls atomic.Int32 }
+
+func (c *redirectingCaller) Call(ctx context.Context, address string, _ crlpeer.Method, _, result any) error {
+	c.calls.Add(1)
+	crlclock.Sleep(ctx, time.Millisecond)
+	next := map[string]string{"a": "b", "b": "a"}[address]
+	*result.(*FollowResponse) = FollowResponse{Source: crlid.Incarnation(address), Sources: []Member{{Address: next}}}
+	return nil
+}
+
+// TestRedirectsInACircleAreCalledSlowly guards against a starting daemon that calls two sources without a pause because each names the other.
+func TestRedirectsInACircleAreCalledSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFollower(newDaemon("c", crlclock.NewMonotonic()), nil, "c")
+		caller := new(redirectingCaller)
+		f.config.Peers = caller
+		f.SetSeeds([]string{"a", "b"})
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(20 * time.Millisecond)
+		if calls := caller.calls.Load(); calls < 2 {
+			t.Errorf("%d calls in 20 ms, want one of a source and one of that which it named", calls)
+		}
+		time.Sleep(5 * time.Second)
+		if calls := caller.calls.Load(); calls < 10 || calls > 25 {
+			t.Errorf("%d calls in 5 s, want about two a second", calls)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
 // TestFollowerReadsTheStoreWithoutAFreshPeer checks that a daemon falls back to the store while no peer sends it a fresh
 // confirmation, and stops reading the store once one does.
 func TestFollowerReadsTheStoreWithoutAFreshPeer(t *testing.T) {
