Keep the status of a request that may have run when a router refuses it

Cause: a router that takes requests over answers 503 when it has too many open requests, or no server, without regard to earlier sends. The router that had handed the request over passed that status on, although a server may have run the request at another router before. A status of 503 tells the caller that nothing ran.

Change: a 503 of another router is passed on only while no send may have run; otherwise the request ends with 502, as finalRefusal says.

Evidence: the new case of TestHandovers got 503 before and gets 502 now; go test -p 2 ./crlforward passes.

--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -171,7 +171,10 @@
 		return s.verdictAfter(x, mayHaveRun), nil
 	case ReasonOverloaded, ReasonNoBudget, ReasonCrashes, ReasonNoServer, ReasonRouteTimeout, ReasonDeadline, ReasonAttempts, ReasonOutcomeUnknown:
 		refusal := x.finalRefusal(reason)
-		refusal.Status = response.StatusCode
+		if x.runs == 0 || response.StatusCode != http.StatusServiceUnavailable {
+			// A router that has no room refuses without regard to the sends before, after which a server may have run the request.
+			refusal.Status = response.StatusCode
+		}
 		if pause := s.config.Dialect.DecodeAnswer(response.StatusCode, response.Header).Statement.Pause; refusal.RetryAfter > 0 && pause > 0 {
 			refusal.RetryAfter = pause
 		}
--- a/crlforward/handover_test.go
+++ b/crlforward/handover_test.go
@@ -73,6 +73,9 @@
 		{"lookup that two routers ran before they were cut off", "/read/1", []step{
 			unreachable, unreachable, refuses(502, ReasonCutOff), refuses(502, ReasonCutOff),
 		}, http.StatusBadGateway, "ssrr", false},
+		{"lookup that one router may have run before the next one is overloaded", "/read/1", []step{
+			unreachable, unreachable, refuses(502, ReasonCutOff), full,
+		}, http.StatusBadGateway, "ssrr", false},
 		{"stream that the other router aborts as it stops", "/draft/1", []step{unreachable, unreachable, refuses(502, ReasonDraining), answers(events(1, 3))}, http.StatusOK, "ssrr", true},
 		{"filing whose answer breaks off", "/file/1", []step{unreachable, unreachable, breaksAfter("do")}, http.StatusBadGateway, "ssr", false},
 		{"lookup whose answer is lost on the way", "/read/1", []step{unreachable, unreachable, losesAnswer}, http.StatusBadGateway, "ssr", false},
