Deliver no incomplete failure of a server as a complete one

Cause: a failure (status 5xx) is kept as the answer in case no other send succeeds. Where the limit of held memory, or 1 MiB, ends the read of its body, the part read so far was kept and sent without its length, so that the caller takes it for the whole.

Change: only a complete failure is kept. Without one, the caller gets the router's own refusal.

Evidence: TestIncompleteFailureIsNotDelivered got status 500 with 16,384 of 100,000 bytes before and gets 502 now; go test -p 2 ./crlforward passes.

--- a/crlforward/held_test.go
+++ b/crlforward/held_test.go
@@ -81,6 +81,35 @@
 	})
 }
 
+// TestIncompleteFailureIsNotDelivered guards against the first part of a server's failure, which is all that there was memory for, being taken for
+// the whole.
+func TestIncompleteFailureIsNotDelivered(t *testing.T) {
+	const size = 100_000
+	for _, tc := range []struct {
+		name   string
+		limit  int64
+		status int
+		bytes  int // 0 for the router's own refusal
+	}{
+		{"memory for the whole", 1 << 20, http.StatusInternalServerError, size},
+		{"memory for a part", 1, http.StatusBadGateway, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(func(r *http.Request) (*http.Response, error) {
+					connect(r)
+					return newResponse(r, http.StatusInternalServerError, signed, strings.NewReader(strings.Repeat("x", size))), nil
+				})
+				c.service.held.limit = tc.limit
+				got, aborted := c.call(t.Context(), "/file/1", nil)
+				if got.Code != tc.status || aborted || strings.Count(got.Body.String(), "x") != tc.bytes {
+					t.Errorf("got %d with %d bytes, cut off %v, want %d with %d bytes of the server's", got.Code, got.Body.Len(), aborted, tc.status, tc.bytes)
+				}
+			})
+		})
+	}
+}
+
 // stalledWriter fails after some writes, as a connection does whose caller doesn't read.
 type stalledWriter struct {
 	*httptest.ResponseRecorder
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -302,7 +302,9 @@
 	}
 	answer := &reply{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
-		x.lastFailure = answer
+		if complete { // The caller would take a part for the whole.
+			x.lastFailure = answer
+		}
 		if x.route.Repeatable() && x.sends < x.route.Attempts {
 			return verdictAgain, crlfleet.OutcomeFailed
 		}
