Bound the numbers of tokens that callers state

Cause: estimates, the sums of admission control and the load of servers take the numbers of tokens of a request as stated. The largest number that the header allows gives a negative time to the first event and a negative sum of prompt and answer, and work that exceeds everything else in the sums of its service. A load above 300 s or 3,000,000 tokens at a server makes other daemons ignore the whole message of this one.

Change: each number is reduced to 1,000,000, above the memory of present engines, once the head is decoded. The headers that a server gets are unchanged.

--- a/crlforward/admission_test.go
+++ b/crlforward/admission_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -255,3 +258,44 @@
 		}
 	})
 }
+
+// TestImpossibleTokenCountsDontOverflow guards against a caller that states impossible numbers of tokens, whose request is then expected to take a
+// negative time and counts for other requests of its service without bound.
+func TestImpossibleTokenCountsDontOverflow(t *testing.T) {
+	const most = math.MaxInt64
+	head := Head{PromptTokens: most, MaxAnswerTokens: most, ExpectedAnswerTokens: most, Parts: []Part{{ID: "a", Tokens: most}, {ID: "b", Tokens: most}}}
+	c := newEngineCluster(answers(events(1, 1)))
+	c.service.config.Dialect = headDialect{head: head}
+	x := &exchange{
+		request: httptest.NewRequest(http.MethodPost, "/", nil), service: &crlroute.Service{Name: "app", Slots: 4},
+		route: &crlroute.Route{Models: []crlid.Model{"small", "large"}, Affinity: true},
+	}
+	if refusal := c.service.readHead(t.Context(), x); refusal != nil {
+		t.Fatalf("refused as %s", refusal.Reason)
+	}
+	plan := newModelPlan(x)
+	plan.escalate()
+	got := c.service.estimate(x, plan.model(), plan)
+	if got.firstByte <= 0 || got.firstByte > time.Hour || got.workSeconds > 3600 || got.decodeSeconds > 3600 {
+		t.Errorf("the request is estimated to take %+v, want more than 0 and at most an hour each", got)
+	}
+	if saving := c.service.affinity(x, plan.model(), plan).Saving; saving < 0 || saving > 3600 {
+		t.Errorf("a cached prefix is estimated to save %v s, want 0 to an hour", saving)
+	}
+	if sum := x.head.PromptTokens + x.head.MaxAnswerTokens; sum <= 0 {
+		t.Errorf("the request holds %d tokens, want more than 0", sum)
+	}
+}
+
+// headDialect decodes every request to the same head.
+type headDialect struct {
+	dialect
+	head Head
+}
+
+// DecodeRequest returns a copy of the head.
+func (d headDialect) DecodeRequest(http.Header) (Head, error) {
+	head := d.head
+	head.Parts = slices.Clone(head.Parts)
+	return head, nil
+}
--- a/crlforward/head.go
+++ b/crlforward/head.go
@@ -73,3 +73,17 @@
 	// RetryAfter sets the header that asks the caller to retry after a time.
 	RetryAfter(header http.Header, after time.Duration)
 }
+
+// maxStatedTokens bounds each number of tokens that a caller states, for estimates and the load of servers. It is above the memory of present
+// engines. Without it, one wrong number overflows durations, and other daemons ignore the whole report of load that contains it.
+const maxStatedTokens crlid.Tokens = 1_000_000
+
+// boundTokens reduces numbers of tokens above maxStatedTokens.
+func (h *Head) boundTokens() {
+	for _, tokens := range []*crlid.Tokens{&h.PromptTokens, &h.MaxAnswerTokens, &h.ExpectedAnswerTokens} {
+		*tokens = min(*tokens, maxStatedTokens)
+	}
+	for i := range h.Parts {
+		h.Parts[i].Tokens = min(h.Parts[i].Tokens, maxStatedTokens)
+	}
+}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -234,6 +234,7 @@
 // readHead parses the request's headers.
 func (s *Service) readHead(_ context.Context, x *exchange) *Refusal {
 	head, err := s.config.Dialect.DecodeRequest(x.request.Header)
+	head.boundTokens()
 	x.head = head
 	if err != nil {
 		x.trace.cause = err.Error()
