Don't count requests at other routers as waiting for servers

Cause: the ticket of a request that is handed over to another router stayed among those that wait for this router's servers until the whole answer was relayed, as only answers of servers end the wait. After a cut-off has ended, such streams made urgent requests seem late and the queue long, for up to the timeout of the route: less urgent requests got smaller models, were held, or were rejected.

Change: the wait ends without an observation when the request is handed over.

Evidence: TestHandedOverStreamsDontCountAsWaiting failed before and passes now; go test -race -p 2 ./crlforward passes, and golangci-lint reports nothing for the package.

--- a/crlforward/admission_test.go
+++ b/crlforward/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crladmission"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlroute"
 )
@@ -287,6 +289,55 @@
 	}
 }
 
+// TestHandedOverStreamsDontCountAsWaiting guards against requests that are rejected or get a smaller model after the end of a cut-off, because streams
+// that other routers relay still count as requests that wait for this router's servers.
+func TestHandedOverStreamsDontCountAsWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		end := make(chan struct{})
+		c := newEngineCluster(func(r *http.Request) (*http.Response, error) {
+			connect(r)
+			reader, writer := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(writer, events(1, 1))
+				<-end
+				_ = writer.Close()
+			}()
+			return newResponse(r, http.StatusOK, signed, reader), nil
+		})
+		c.service.config.Peers = func() []Peer { return []Peer{{Address: "router-a:2", Domain: "far"}} }
+		c.probeErr = errReset
+		c.service.reachability.recordFailed("s0")
+		c.service.reachability.recordFailed("s1")
+		var open sync.WaitGroup
+		for n := range 8 {
+			open.Go(func() { c.call(t.Context(), "/urgent/1", map[string]string{"X-Request": fmt.Sprint("r", n)}) })
+		}
+		time.Sleep(2 * time.Second) // twice the objective
+		synctest.Wait()
+		if !isRouter(c.backend.sent[0]) {
+			t.Fatal("the requests were not handed over")
+		}
+		for n := range 22 { // Of the requests at servers, 2 of 22 are late.
+			request := crladmission.Request{Service: "app", Objective: time.Second}
+			var ticket crladmission.Ticket
+			now := c.now()
+			c.service.admission.Begin(&ticket, request, now)
+			c.service.admission.RecordServer(&ticket, crlid.Server(fmt.Sprint("s", n)))
+			wait := 100 * time.Millisecond
+			if n < 2 {
+				wait = 900 * time.Millisecond
+			}
+			c.service.admission.RecordFirstEvent(&ticket, now.Add(wait))
+		}
+		if !c.service.admission.AllowsLarger("app", 2, c.now()) {
+			t.Error("urgent requests count as late, although nearly all begin in time")
+		}
+		close(end)
+		open.Wait()
+		time.Sleep(time.Second)
+	})
+}
+
 // headDialect decodes every request to the same head.
 type headDialect struct {
 	dialect
--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -123,6 +123,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.peers[peer.Address] = true
+	if x.admission.begun {
+		// From here on, the request waits for the other router, which says nothing about this router's servers.
+		s.admission.Cancel(&x.admission.ticket, s.config.Now())
+	}
 	s.config.Metrics.handovers.Inc()
 	reached, start := x.reached, time.Now()
 	response, connected, err := s.roundTrip(ctx, cancel, x, peer.Address, func() {}, func(ctx context.Context) *http.Request {
