Bound the work and the cost of a request in the choice of a domain

Cause: Policy.Choose took the work of a request into its averages as it was given. One that is infinite made the credit not a number, so that no request left the domain any more; one that is not a number stayed in the average. A large Request.Reread overflowed the cost to a negative one.

Change: the work is bounded by maxWork, as in ObserveSend, and Reread by a quarter of Barrier.

--- a/crllocality/policy.go
+++ b/crllocality/policy.go
@@ -236,7 +236,7 @@
 // Cost returns what a send of the request to another failure domain costs.
 func (p *Policy) Cost(r Request) time.Duration {
 	bytes := float64(max(r.Bytes, 0)) / 1e6 * max(p.config.SecondsPerMegabyte, 0)
-	return p.config.RoundTrip + max(r.Reread, 0) + time.Duration(min(bytes, Barrier.Seconds()/2)*float64(time.Second))
+	return p.config.RoundTrip + min(max(r.Reread, 0), Barrier/4) + time.Duration(min(bytes, Barrier.Seconds()/2)*float64(time.Second))
 }
 
 // Choose decides for one request. Requests that are cheaper to send away leave more often; on average the share leaves.
@@ -248,7 +248,10 @@
 		return c
 	}
 	weight := min(max(p.cost/cost.Seconds(), 1/maxWeight), maxWeight)
-	work := max(r.Work, 0)
+	work := min(max(r.Work, 0), maxWork)
+	if math.IsNaN(work) { // It would stay in the averages.
+		work = 0
+	}
 	if p.sent += averageGain * (work - p.sent); p.sent > 0 {
 		p.weight += averageGain * min(work/p.sent, 1/averageGain) * (weight - p.weight)
 	}
--- a/crllocality/policy_test.go
+++ b/crllocality/policy_test.go
@@ -42,6 +42,28 @@
 	}
 }
 
+// TestImpossibleRequestsDontStopTheShare guards against one request with impossible estimates after which no request leaves the domain any more, or
+// whose cost is negative.
+func TestImpossibleRequestsDontStopTheShare(t *testing.T) {
+	for _, r := range []Request{{Work: math.NaN()}, {Work: math.Inf(1)}, {Work: math.Inf(-1)}, {Work: 1, Reread: math.MaxInt64}} {
+		p := New(Config{Random: rand.New(rand.NewPCG(1, 2)).Float64})
+		p.SetCapacity(Capacity{Inside: 4, Outside: 8}, start)
+		p.share = 0.5
+		if cost := p.Choose(r, start).Cost; cost <= 0 || cost >= Barrier {
+			t.Errorf("%+v costs %v, want more than 0 and less than %v", r, cost, Barrier)
+		}
+		outside := 0
+		for range 1000 {
+			if c := p.Choose(Request{Work: 0.1}, start); c.Bound && c.Side == SideOutside {
+				outside++
+			}
+		}
+		if outside < 400 || outside > 600 || math.IsNaN(p.sent) {
+			t.Errorf("after %+v, %d of 1000 requests leave, want about 500; the average work is %v", r, outside, p.sent)
+		}
+	}
+}
+
 // TestChoiceWithoutShortage guards against a choice that differs from earlier versions while nothing is short: the policy adds the
 // fixed cost to servers elsewhere and binds no request.
 func TestChoiceWithoutShortage(t *testing.T) {
