Keep the learned prompt rate when one answer comes far too early

Cause: an observation below the prediction weighs 99 times one above it, times the square of the prompt's length. One answer of a cached prompt, or with a wrong stated length, made a router take the engine for up to 140 times as fast, for a minute or more, and told the others (found in review). Change: observations below 0.4 of the prediction weigh like late ones, at most like those of a prompt of 16,000 tokens. They move the estimate only if most agree. Prompts longer than an engine's memory aren't observed. Evidence: TestOneWrongLengthKeepsTheRate failed (24,332 instead of 18,900 after one of 12,000 tokens), passes now. TestRatesAreRightAfterFiveSeconds has the same two red cases, 26% and 24%, as before.

--- a/crlforward/pace.go
+++ b/crlforward/pace.go
@@ -40,7 +40,7 @@
 
 // newPaceSample returns the sample of a send. Nothing is measured of a stream that continues another one, as its server also has to process the answer so far.
 func (s *Service) newPaceSample(x *exchange, pick *crlfleet.Pick, plan *modelPlan, sentAt time.Time) paceSample {
-	if !x.isPaced() || x.head.Resumes || x.stream.lastEvent > 0 {
+	if !x.isPaced() || x.head.Resumes || x.stream.lastEvent > 0 || x.exceedsMemory() {
 		return paceSample{}
 	}
 	shared := sharedTokens(x.head.Parts)
@@ -57,6 +57,11 @@
 	}
 }
 
+// exceedsMemory reports whether the stated prompt is longer than a server has memory for, so that its length must be wrong.
+func (x *exchange) exceedsMemory() bool {
+	return x.service.MemoryTokens > 0 && x.head.PromptTokens > x.service.MemoryTokens
+}
+
 // countEvent records that an event arrived.
 func (p *paceSample) countEvent() {
 	if p.estimator == nil || p.events == paceEvents {
--- a/crlpace/estimator_test.go
+++ b/crlpace/estimator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -140,6 +141,28 @@
 	}
 }
 
+// TestOneWrongLengthKeepsTheRate guards against an answer that comes long before the stated length of its prompt allows, as of a cached prompt or
+// with a wrong length, that makes the router take the engine for many times as fast.
+func TestOneWrongLengthKeepsTheRate(t *testing.T) {
+	for _, stated := range []crlid.Tokens{12_000, 30_000, 54_600, 100_000} {
+		e, now := newTestEstimator("a")
+		const rate = 18_900.0 // prompt tokens a second
+		random := rand.New(rand.NewPCG(1, 2))
+		for i := range 600 {
+			*now = now.Add(50 * time.Millisecond)
+			prompt := crlid.Tokens(6000 + random.IntN(14_000))
+			took := time.Duration((float64(prompt)/rate + 0.04 + 0.02*random.Float64()) * float64(time.Second))
+			if i == 400 {
+				prompt, took = stated, 100*time.Millisecond
+			}
+			e.ObserveFirstEvent(testKey, "s", Work{Prompt: prompt}, Load{}, took)
+			if got := e.PromptRate(testKey); i >= 400 && math.Abs(got/rate-1) > 0.2 {
+				t.Fatalf("%d observations after one with %d stated tokens the rate is %.0f, want %.0f within 20%%", i-400, stated, got, rate)
+			}
+		}
+	}
+}
+
 func BenchmarkPredict(b *testing.B) {
 	e, _ := newTestEstimator("a")
 	e.ObserveTokens(testKey, "s", Load{}, time.Millisecond)
--- a/crlpace/fit.go
+++ b/crlpace/fit.go
@@ -79,7 +79,11 @@
 	// is too low grows by as much in each round.
 	lateFactor = 1.3
 	lateMargin = 0.05
-	unit       = 10_000.0 // prompt tokens are counted in this unit, which keeps the sums of one magnitude
+	// earlyFactor is the part of the prediction below which an observation has the weight of a late one.
+	earlyFactor = 0.4
+	// longestEarly is the prompt length in tokens above which such an observation weighs as much as one of this length.
+	longestEarly = 4 * float64(LongPrompt)
+	unit         = 10_000.0 // prompt tokens are counted in this unit, which keeps the sums of one magnitude
 )
 
 // promptSample returns the sums of one observed time to the first event at a server of a speed, times decay.
@@ -89,7 +93,12 @@
 	if p.short {
 		base = f.shortBase
 	}
-	weight, seconds := weigh(p.seconds, base+unique*f.promptToken+shared*f.sharedToken, promptExpectile)
+	expected := base + unique*f.promptToken + shared*f.sharedToken
+	weight, seconds := weigh(p.seconds, expected, promptExpectile)
+	if seconds < earlyFactor*expected {
+		// The line would follow the square of a wrong length.
+		weight *= min(1, math.Pow(longestEarly/(unique+shared), 2))
+	}
 	weight *= decay
 	if p.short {
 		s[shortWeight], s[shortTokens], s[shortSeconds] = weight, weight*(unique+shared)/unit, weight*seconds
@@ -119,6 +128,10 @@
 
 // weigh returns the weight of an observation, and the observation with an upper bound.
 func weigh(seconds, expected, expectile float64) (weight, bounded float64) {
+	if seconds < earlyFactor*expected {
+		// Most likely the prompt was cached, or shorter than the caller stated. Such times move the estimate only if most of them agree.
+		return expectile, seconds
+	}
 	if seconds <= expected {
 		return 1 - expectile, seconds
 	}
