--- a/crlpace/fit.go
+++ b/crlpace/fit.go
@@ -97,7 +97,8 @@
 	weight, seconds := weigh(p.seconds, expected, promptExpectile)
 	if seconds < earlyFactor*expected {
 		// The line would follow the square of a wrong length.
-		weight *= min(1, math.Pow(longestEarly/(unique+shared), 2))
+		ratio := min(1, longestEarly/(unique+shared))
+		weight *= ratio * ratio
 	}
 	weight *= decay
 	if p.short {
