Keep the random part of scores from sending requests to other failure domains

Cause: since requests are spread at random in proportion to room, the random part of a server's score is up to 60 ms, more than the 30 ms for another failure domain. Change: while the load of other routers is known, a server in another failure domain costs 50 ms more, which the random part exceeds for one server in 150. Evidence: TestRandomPartKeepsRequestsInTheirDomain: 92 of 1,000 requests left with free servers in their domain before, at most 50 are allowed; passes now.

--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -220,6 +220,9 @@
 	}
 	if s.entry.Domain != f.config.Domain {
 		score += crossDomainCost
+		if l.remote.active {
+			score += crossDomainRaceCost
+		}
 	}
 	return score + f.config.Random()*scoreJitter
 }
--- a/crlfleet/remote.go
+++ b/crlfleet/remote.go
@@ -38,6 +38,9 @@
 	// raceScale is the scale in seconds of the random part of a score that divides requests among servers in proportion to their room. It is
 	// short beside the work of a long prompt, so that real differences of load outweigh it.
 	raceScale = 0.01
+	// crossDomainRaceCost is added to the score of a server in another failure domain, as the random part of the scores would otherwise
+	// outweigh crossDomainCost: it exceeds this cost for one server in 150.
+	crossDomainRaceCost = 5 * raceScale
 	// minRoomShare bounds the disadvantage of a server without room to raceScale * -log(minRoomShare), about 46 ms.
 	minRoomShare = 0.01
 )
--- a/crlfleet/remote_test.go
+++ b/crlfleet/remote_test.go
@@ -435,3 +435,32 @@
 func (*fixedLoads) Demand(crlid.Service, crlclock.Instant) (work, wait [crlworkload.Buckets]float64, age time.Duration, ok bool) {
 	return work, wait, 0, false
 }
+
+// TestRandomPartKeepsRequestsInTheirDomain guards against traffic between failure domains that only the random part of the scores causes, while
+// servers of both domains are free.
+func TestRandomPartKeepsRequestsInTheirDomain(t *testing.T) {
+	f, _ := newLoadedFleet(83)
+	random := rand.New(rand.NewPCG(3, 4))
+	f.config.Random = random.Float64
+	for n := range 90 {
+		e := testEntry(n)
+		if n%3 > 0 {
+			e.Domain = "far"
+		}
+		f.Announce(e, f.config.Now())
+	}
+	const sends = 1000
+	left := 0
+	for range sends {
+		need := testNeed()
+		need.Engine = true
+		p := mustPick(t, f, need)
+		if f.servers[p.Server].entry.Domain == "far" {
+			left++
+		}
+		p.Done(Result{Outcome: OutcomeAnswered, FirstByte: p.ExpectedFirstByte})
+	}
+	if left > sends/20 {
+		t.Errorf("%d of %d requests leave their failure domain though it has free servers, want at most %d", left, sends, sends/20)
+	}
+}
