Hold calls at unconfirmed sources during an outage of the store

Cause: while no daemon is confirmed, a source answers a follower's call at once, and the follower sleeps for up to 0.5 s before it calls the next one. After the store's return a follower finds those that have read it only by chance: routers of a fleet of 74 rejected requests for up to 2 s longer than the first one. Change: after the quick attempts of a search, the source holds the call for the time of that pause and answers as soon as it has a newer confirmation. A source also holds calls without a cursor if it has no record for them, so that the first call at a new source isn't answered at once.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -220,6 +220,15 @@
 	return r.changed
 }
 
+// changesFrom is like Changes for a follower without a cursor, whose replica is complete up to the offset end.
+func (r *Replica) changesFrom(end crlid.Offset) <-chan struct{} {
+	d := r.since(0, end)
+	if d.full || len(d.records) > 0 {
+		return r.Changes(0)
+	}
+	return r.Changes(d.cursor)
+}
+
 // delta holds the changes for a follower, and the replica's state at that moment.
 type delta struct {
 	records     []versionedRecord
--- a/crlrelay/search.go
+++ b/crlrelay/search.go
@@ -43,13 +43,15 @@
 	return sources[sourceIndex(f.failures, len(sources), preferred)]
 }
 
-// retryPause returns the time from the start of a failed call to the next one. It is short for as many attempts as twice the time for the search has room
-// for, and grows then, so that a fleet without a confirmed daemon isn't busy with looking for one.
+// retryPause returns the time from the start of a failed call to the next one. It is short for the quick attempts and grows then, so that a fleet without a
+// confirmed daemon isn't busy with looking for one.
 func (f *Follower) retryPause() time.Duration {
-	quick := int(2 * f.searchTime() / retryPauseStep)
-	return min(retryPauseStep*time.Duration(max(f.attempts-quick, 1)), FollowWait)
+	return min(retryPauseStep*time.Duration(max(f.attempts-f.quickAttempts(), 1)), FollowWait)
 }
 
+// quickAttempts returns the number of attempts of a search with the shortest pause in between: as many as twice the time for the search has room for.
+func (f *Follower) quickAttempts() int { return int(2 * f.searchTime() / retryPauseStep) }
+
 // searchTime returns the time kept for finding another source, of the shortest bound, and 0 without bounds.
 func (f *Follower) searchTime() time.Duration {
 	shortest := time.Duration(math.MaxInt64)
@@ -110,7 +112,8 @@
 // callTimes returns for how long the source may hold the next call, and after which time the follower gives it up, 0 for never.
 //
 // A source holds no call for longer than the follower's copy is fresh, and a call without a reply ends soon after. The first load has no limit, as there
-// is no copy to keep fresh.
+// is no copy to keep fresh. Once the quick attempts of a search are over, most likely no daemon is confirmed: the source then holds the call for the
+// time of the pause to the next one, so that its first new confirmation is passed on at once.
 func (f *Follower) callTimes() (wait, limit time.Duration) {
 	until, loaded := f.copyFreshUntil()
 	search := f.searchTime()
@@ -119,6 +122,9 @@
 	}
 	left := max(until.Sub(f.config.Now()), 0)
 	wait = min(left, FollowWait)
+	if f.attempts > f.quickAttempts() {
+		wait = max(wait, f.retryPause())
+	}
 	attempt := search / attemptsPerSearch << min(f.attempts/attemptsPerStep, attemptsPerSearch)
 	return wait, wait + max(min(left-wait, replyMargin), attempt)
 }
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -116,6 +116,9 @@
 	anyChanged := make(chan struct{}, 1)
 	for topic, replica := range s.config.Replicas {
 		changed := replica.Changes(request.Cursors[topic])
+		if end, ok := request.Ends[topic]; ok && request.Await != nil && request.Cursors[topic] == 0 {
+			changed = replica.changesFrom(end)
+		}
 		go func() {
 			select {
 			case <-changed:
