Give followers the configuration in force with the newest records

Cause: a replica holds the newest record of a key only. A router refuses a configuration that can't be decoded or has a lower version than its own, but its followers got just that refused record: a reader whose own confirmation was a moment too old followed the other one and put configuration 4 in force after 5. Change: a replica of orders also keeps the record in force. A follower states the offset of its own; the source adds its record, marked, if it is another one. A router takes a newer version from its source even if it has read a later record of an older one.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -255,7 +255,7 @@
 	ctx, stop := withLimit(ctx, limit)
 	defer stop()
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, FollowRequest{
-		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), MaxWait: Milliseconds(wait.Milliseconds()), RosterDigest: f.Roster().digest(),
+		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), InForce: f.inForce(), MaxWait: Milliseconds(wait.Milliseconds()), RosterDigest: f.Roster().digest(),
 		Self: f.selfWithoutRoster(), Roster: f.rosterForSource(), Exchange: f.config.Exchange.Request(isNew), Await: f.await(), Decompresses: true,
 	}, &response)
 	if err != nil {
@@ -352,6 +352,17 @@
 	return ends
 }
 
+// inForce returns the offsets of the records that are in force at this daemon, by topics that have such records, so that no source sends a large one of them again.
+func (f *Follower) inForce() map[Topic]crlid.Offset {
+	inForce := make(map[Topic]crlid.Offset)
+	for topic, replica := range f.config.Replicas {
+		if offset, ok := replica.offsetInForce(); ok {
+			inForce[topic] = offset
+		}
+	}
+	return inForce
+}
+
 // apply merges a response into the replicas and reports whether its confirmations are within MaxAge.
 //
 // The source replied no earlier than the sending of the call plus the time that it held the call. A confirmation dates from
@@ -376,9 +387,9 @@
 			return false
 		}
 		if delta.Full {
-			replica.Replace(records, delta.End)
+			replica.replaceFrom(records, delta.End, delta.inForce())
 		} else {
-			replica.Apply(records, delta.End)
+			replica.applyFrom(records, delta.End, delta.inForce())
 		}
 		f.cursors[topic] = delta.Cursor
 		confirmedAt := f.confirmedAt(sentAt, response.HeldFor, delta.ConfirmationAge)
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -18,9 +18,12 @@
 
 // FollowRequest is a follower's request for changes; the call is held until there are any.
 type FollowRequest struct {
-	Source       crlid.Incarnation      `json:"source"` // source whose replicas the cursors refer to; another incarnation ignores the cursors
-	Cursors      map[Topic]Cursor       `json:"cursors"`
-	Ends         map[Topic]crlid.Offset `json:"ends,omitempty"`     // offsets up to which the follower's replicas are complete; used if the cursors aren't
+	Source  crlid.Incarnation      `json:"source"` // source whose replicas the cursors refer to; another incarnation ignores the cursors
+	Cursors map[Topic]Cursor       `json:"cursors"`
+	Ends    map[Topic]crlid.Offset `json:"ends,omitempty"` // offsets up to which the follower's replicas are complete; used if the cursors aren't
+	// InForce holds the offsets of the records that are in force at the follower, of topics that have such a record; followers of earlier versions
+	// don't state any.
+	InForce      map[Topic]crlid.Offset `json:"in-force,omitempty"`
 	MaxWait      Milliseconds           `json:"wait-ms"`            // limit on how long the call is held when nothing changed
 	Self         *Member                `json:"self,omitempty"`     // the follower, if it knows no roster
 	Roster       *Roster                `json:"members,omitempty"`  // the follower's roster, if it is newer than the source's
@@ -32,6 +35,14 @@
 	Decompresses bool `json:"decompresses,omitempty"`
 }
 
+// inForce returns the offset of the record of a topic that is in force at the follower, nil if the follower doesn't state it.
+func (r FollowRequest) inForce(topic Topic) *crlid.Offset {
+	if offset, ok := r.InForce[topic]; ok {
+		return &offset
+	}
+	return nil
+}
+
 // Await names a topic of which a follower needs a newer confirmation.
 type Await struct {
 	Topic Topic        `json:"topic"`
@@ -56,6 +67,24 @@
 	Cursor          Cursor       `json:"cursor"`
 	End             crlid.Offset `json:"end"`    // offset at which the topic ended when the replica last read it
 	ConfirmationAge Milliseconds `json:"age-ms"` // time since the replica was last confirmed to be complete; negative for never
+	// InForce is the offset of the one of Records that is in force at the source, nil for none. Newer records of its key have been refused there.
+	InForce *crlid.Offset `json:"in-force,omitempty"`
+}
+
+// withInForce returns the delta with the offset of the record that is in force, unless that is [crlid.NoOffset].
+func (d TopicDelta) withInForce(offset crlid.Offset) TopicDelta {
+	if offset != crlid.NoOffset {
+		d.InForce = &offset
+	}
+	return d
+}
+
+// inForce returns the offset of the record that is in force at the source, [crlid.NoOffset] for none.
+func (d TopicDelta) inForce() crlid.Offset {
+	if d.InForce == nil {
+		return crlid.NoOffset
+	}
+	return *d.InForce
 }
 
 // Member is one daemon of the roster, identified by its address: a daemon that restarts is the same member.
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -381,11 +381,11 @@
 func TestUnchangedRecordsAreNotRelayed(t *testing.T) {
 	d := newDaemon("a", crlclock.NewMonotonic())
 	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
-	before := d.replica.since(0, crlid.NoOffset)
+	before := d.replica.since(0, crlid.NoOffset, nil)
 	for n := range 100 {
 		d.replica.Apply([]crlplatform.KeyedRecord{record("s1", crlid.Offset(n+1), "in")}, crlid.Offset(n+2))
 	}
-	if after := d.replica.since(before.cursor, crlid.NoOffset); len(after.records) != 0 || after.end != 101 {
+	if after := d.replica.since(before.cursor, crlid.NoOffset, nil); len(after.records) != 0 || after.end != 101 {
 		t.Errorf("relays %d records up to offset %d, want 0 up to 101", len(after.records), after.end)
 	}
 }
@@ -581,3 +581,47 @@
 func (countingExchange) Reply(json.RawMessage) json.RawMessage { return nil }
 func (countingExchange) Pending() bool                         { return false }
 func (countingExchange) Learn(json.RawMessage)                 {}
+
+// TestRecordInForceIsSentOnce guards against sending a large configuration again to followers that have it: a refused newer record, as of an older
+// configuration, stays the newest of the key, so that the one in force is sent beside it.
+func TestRecordInForceIsSentOnce(t *testing.T) {
+	inForce := crlid.NoOffset
+	source := NewReplica(ReplicaConfig{
+		Now: crlclock.NewMonotonic(), InForce: func() crlid.Offset { return inForce },
+		OnChange: func(records []crlplatform.KeyedRecord, _ crlclock.Instant) {
+			for _, r := range records {
+				if string(r.Value) == "accepted" {
+					inForce = r.Offset
+				}
+			}
+		},
+	})
+	source.Replace([]crlplatform.KeyedRecord{record("config", 2, "accepted")}, 3)
+	known := source.since(0, crlid.NoOffset, nil).cursor
+	source.Apply([]crlplatform.KeyedRecord{record("config", 3, "refused")}, 4)
+	latest := source.since(0, crlid.NoOffset, nil).cursor
+	none, same := crlid.NoOffset, crlid.Offset(2)
+	for _, c := range []struct {
+		name    string
+		after   Cursor
+		end     crlid.Offset
+		inForce *crlid.Offset
+		want    string
+	}{
+		{"a new follower", 0, crlid.NoOffset, &none, "[2 3]"},
+		{"a new follower of an earlier version", 0, crlid.NoOffset, nil, "[3]"},
+		{"one that follows", known, 3, &same, "[3]"},
+		{"one that follows and refused the record in force", known, 3, &none, "[3]"},
+		{"one that has everything", latest, 4, &same, "[]"},
+		{"one with the refused record from elsewhere", 0, 4, &none, "[2]"},
+		{"one with both from elsewhere", 0, 4, &same, "[]"},
+	} {
+		offsets := []crlid.Offset{}
+		for _, r := range source.since(c.after, c.end, c.inForce).records {
+			offsets = append(offsets, r.record.Offset)
+		}
+		if got := fmt.Sprint(offsets); got != c.want {
+			t.Errorf("%s gets the records %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -31,6 +31,9 @@
 	// Same reports whether a record changes nothing for followers compared with the one before it; if nil, every record is
 	// a change.
 	Same func(before, after crlplatform.KeyedRecord) bool
+	// InForce returns the offset of the record that is in force when OnChange may refuse newer records of its key, [crlid.NoOffset] for none. Followers get
+	// that record too, as they would put in force what comes after it. It is called after OnChange, with the replica's lock held; nil if no record is refused.
+	InForce func() crlid.Offset
 }
 
 // Replica holds the newest record of each key of a topic; it may be used by several goroutines.
@@ -39,11 +42,12 @@
 	mu           sync.Mutex // guards all below, and serialises the calls of OnChange
 	records      map[string]versionedRecord
 	lastChange   Cursor
-	deleted      int          // number of records that delete their keys
-	forgotten    Cursor       // the latest change whose record was dropped, see forgetDeleted
-	forgottenEnd crlid.Offset // offset after the last record that was dropped
-	end          crlid.Offset // offset after the last record that was read
-	completeFrom crlid.Offset // offset from which each change of the topic is known, also the deletion of keys that were never held
+	inForce      versionedRecord // the record that is in force, with NoOffset before the first; see ReplicaConfig.InForce
+	deleted      int             // number of records that delete their keys
+	forgotten    Cursor          // the latest change whose record was dropped, see forgetDeleted
+	forgottenEnd crlid.Offset    // offset after the last record that was dropped
+	end          crlid.Offset    // offset after the last record that was read
+	completeFrom crlid.Offset    // offset from which each change of the topic is known, also the deletion of keys that were never held
 	confirmedAt  crlclock.Instant
 	// confirmation is confirmedAt for readers without the lock: OnChange may take locks under which ConfirmedAt is called.
 	confirmation   atomic.Int64
@@ -62,20 +66,33 @@
 
 // NewReplica returns an empty Replica, which counts as not loaded.
 func NewReplica(config ReplicaConfig) *Replica {
-	return &Replica{config: config, records: make(map[string]versionedRecord), end: crlid.NoOffset, changed: make(chan struct{}), confirmed: make(chan struct{})}
+	return &Replica{
+		config: config, records: make(map[string]versionedRecord), inForce: versionedRecord{record: crlplatform.KeyedRecord{Offset: crlid.NoOffset}},
+		end: crlid.NoOffset, changed: make(chan struct{}), confirmed: make(chan struct{}),
+	}
 }
 
 // Apply merges records that follow each other in the topic; end is the offset at which the topic ended when they were read.
 // Records no newer than the one held for their key are ignored, so records may arrive late or twice.
 func (r *Replica) Apply(records []crlplatform.KeyedRecord, end crlid.Offset) {
+	r.applyFrom(records, end, crlid.NoOffset)
+}
+
+// applyFrom merges records as Apply does. inForce is the offset of the record among them that is in force at their source, [crlid.NoOffset] for none.
+func (r *Replica) applyFrom(records []crlplatform.KeyedRecord, end, inForce crlid.Offset) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.apply(records, end, r.forgottenEnd)
+	r.apply(records, end, r.forgottenEnd, inForce)
 }
 
 // Replace merges the newest records of all keys and marks the replica as loaded. A key that is held but not among them was
 // deleted before the topic's end, unless its record is newer than that.
 func (r *Replica) Replace(records []crlplatform.KeyedRecord, end crlid.Offset) {
+	r.replaceFrom(records, end, crlid.NoOffset)
+}
+
+// replaceFrom merges records as Replace does; inForce is as in applyFrom.
+func (r *Replica) replaceFrom(records []crlplatform.KeyedRecord, end, inForce crlid.Offset) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := make(map[string]bool, len(records))
@@ -96,17 +113,21 @@
 	if end >= r.forgottenEnd {
 		from = 0 // What is present then has not been deleted before.
 	}
-	r.apply(all, end, from)
+	r.apply(all, end, from, inForce)
 	r.loaded = true
 }
 
 // apply merges records as Apply does, passes those that changed something to OnChange, and releases waiting followers. It ignores records of keys
-// that aren't held from before the offset from: they may have been deleted since.
-func (r *Replica) apply(records []crlplatform.KeyedRecord, end, from crlid.Offset) {
+// that aren't held from before the offset from: they may have been deleted since. The record that is in force at the source is passed to OnChange
+// even if a newer one of its key is held, as that may be one that the source has refused.
+func (r *Replica) apply(records []crlplatform.KeyedRecord, end, from, inForce crlid.Offset) {
 	var changed []crlplatform.KeyedRecord
 	for _, record := range records {
 		before, ok := r.records[record.Key]
 		if ok && record.Offset <= before.record.Offset || !ok && record.Offset < from {
+			if r.config.InForce != nil && record.Offset == inForce && record.Offset != r.inForce.record.Offset {
+				changed = append(changed, record)
+			}
 			continue
 		}
 		same := ok && r.config.Same != nil && !record.Deleted && !before.record.Deleted && r.config.Same(before.record, record)
@@ -133,10 +154,40 @@
 	}
 	r.noteOutage(r.config.Now())
 	r.config.OnChange(changed, r.uncertainUntil)
+	r.noteInForce(changed)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+// noteInForce keeps the record that is in force after OnChange got the given ones.
+func (r *Replica) noteInForce(changed []crlplatform.KeyedRecord) {
+	if r.config.InForce == nil {
+		return
+	}
+	offset := r.config.InForce()
+	if offset == r.inForce.record.Offset {
+		return
+	}
+	for _, record := range changed {
+		if record.Offset != offset {
+			continue
+		}
+		r.lastChange++
+		kept := versionedRecord{record: record, change: r.lastChange, compressed: new(compressedValue)}
+		if held := r.records[record.Key]; held.record.Offset == offset && held.compressed != nil {
+			kept.compressed = held.compressed
+		}
+		r.inForce = kept
+	}
+}
+
+// offsetInForce returns the offset of the record that is in force, [crlid.NoOffset] before the first; ok is false for topics without such a record.
+func (r *Replica) offsetInForce() (offset crlid.Offset, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inForce.record.Offset, r.config.InForce != nil
+}
+
 // maxDeleted is the number of deleted keys that a replica keeps, so that followers learn of the deletions.
 const maxDeleted = 1024
 
@@ -223,7 +274,8 @@
 // delta holds the changes for a follower, and the replica's state at that moment.
 type delta struct {
 	records     []versionedRecord
-	full        bool // records holds every key
+	full        bool         // records holds every key
+	inForce     crlid.Offset // offset of the record among them that is in force, NoOffset for none
 	cursor      Cursor
 	end         crlid.Offset
 	confirmedAt crlclock.Instant
@@ -245,16 +297,25 @@
 // since returns the records that changed after a follower's cursor, in the order of the topic. For a follower without a cursor, these are the
 // records from the offset end on, up to which its replica is complete. A follower gets all records if it has neither, or if deletions
 // since may be unknown or forgotten.
-func (r *Replica) since(after Cursor, end crlid.Offset) delta {
+//
+// The record in force is among them if the follower may not have it: inForce is the offset of the one that is in force at the follower, nil if the follower
+// is of an earlier version, which gets the newest records only.
+func (r *Replica) since(after Cursor, end crlid.Offset, inForce *crlid.Offset) delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d := delta{cursor: r.lastChange, end: r.end, confirmedAt: r.confirmedAt, loaded: r.loaded}
+	d := delta{cursor: r.lastChange, end: r.end, inForce: crlid.NoOffset, confirmedAt: r.confirmedAt, loaded: r.loaded}
 	d.full = after == 0 && (end == crlid.NoOffset || end < r.completeFrom) || after > 0 && after < r.forgotten
 	for _, held := range r.records {
 		if d.full || held.change > after && (after > 0 || held.record.Offset >= end) {
 			d.records = append(d.records, held)
 		}
 	}
+	if ours := r.inForce.record.Offset; inForce != nil && ours != crlid.NoOffset && ours != *inForce && (d.full || after == 0 || r.inForce.change > after) {
+		d.inForce = ours
+		if !slices.ContainsFunc(d.records, func(v versionedRecord) bool { return v.record.Offset == ours }) {
+			d.records = append(d.records, r.inForce)
+		}
+	}
 	slices.SortFunc(d.records, func(a, b versionedRecord) int { return cmp.Compare(a.record.Offset, b.record.Offset) })
 	return d
 }
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -61,7 +61,7 @@
 		if known, ok := request.Ends[topic]; ok && after == 0 {
 			end = known
 		}
-		d := replica.since(after, end)
+		d := replica.since(after, end, request.inForce(topic))
 		if !d.loaded {
 			response.Topics[topic] = TopicDelta{ConfirmationAge: -1}
 			continue
@@ -72,7 +72,7 @@
 		}
 		response.Topics[topic] = TopicDelta{
 			Full: d.full, Records: d.messages(request.Decompresses), Cursor: d.cursor, End: d.end, ConfirmationAge: age,
-		}
+		}.withInForce(d.inForce)
 	}
 	if roster := s.config.Roster(); roster.digest() != request.RosterDigest {
 		response.Roster = &roster
--- a/crlrelay/tree_test.go
+++ b/crlrelay/tree_test.go
@@ -161,7 +161,7 @@
 		{5, true, 3}, // The source may not know of keys that were deleted before it began.
 		{12, false, 0},
 	} {
-		if d := source.replica.since(0, c.end); d.full != c.full || len(d.records) != c.records {
+		if d := source.replica.since(0, c.end, nil); d.full != c.full || len(d.records) != c.records {
 			t.Errorf("complete up to %d: got %d records (all keys %v), want %d (%v)", c.end, len(d.records), d.full, c.records, c.full)
 		}
 	}
--- a/crlrouter/orders.go
+++ b/crlrouter/orders.go
@@ -83,10 +83,14 @@
 	o.initialised = true
 }
 
-// applyTable replaces the routing table unless the current one is at least as new, by offset or by version.
+// offsetInForce returns the offset of the record that the current table came from, [crlid.NoOffset] without one.
+func (o *orderProcessor) offsetInForce() crlid.Offset { return o.tableOffset }
+
+// applyTable replaces the routing table unless the version of the current one is at least as new. Offsets don't count: after a newer version an older one may
+// be written, and a daemon that read only that record gets the newer version later, from its source.
 func (o *orderProcessor) applyTable(order Order) {
 	current := o.current.Load()
-	if current != nil && (order.Offset <= o.tableOffset || order.Table.Version() <= current.table.Version()) {
+	if current != nil && order.Table.Version() <= current.table.Version() {
 		return
 	}
 	o.tableOffset = order.Offset
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -125,7 +125,7 @@
 		codec: config.Codec, store: config.Store, topic: config.Topics.Status, rollouts: rollouts, fleet: r.fleet,
 		daemonCount: r.follower.Count, now: config.Clock, logger: config.Logger,
 	}
-	r.replicas[topicOrders] = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: r.orders.apply, Now: config.Clock})
+	r.replicas[topicOrders] = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: r.orders.apply, Now: config.Clock, InForce: r.orders.offsetInForce})
 	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{
 		OnChange: r.servers.apply, Same: r.servers.sameEntry, Now: config.Clock, OutageAfter: outageThreshold, Settle: lapseGracePeriod,
 	})
