--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -61,7 +61,7 @@
 		if known, ok := request.Ends[topic]; ok && after == 0 {
 			end = known
 		}
-		d := replica.since(after, end)
+		d := replica.since(after, end, request.inForce(topic))
 		if !d.loaded {
 			response.Topics[topic] = TopicDelta{ConfirmationAge: -1}
 			continue
@@ -72,7 +72,7 @@
 		}
 		response.Topics[topic] = TopicDelta{
 			Full: d.full, Records: d.messages(request.Decompresses), Cursor: d.cursor, End: d.end, ConfirmationAge: age,
-		}
+		}.withInForce(d.inForce)
 	}
 	if roster := s.config.Roster(); roster.digest() != request.RosterDigest {
 		response.Roster = &roster
@@ -117,7 +117,7 @@
 	for topic, replica := range s.config.Replicas {
 		changed := replica.Changes(request.Cursors[topic])
 		if end, ok := request.Ends[topic]; ok && request.Await != nil && request.Cursors[topic] == 0 {
-			changed = replica.changesFrom(end)
+			changed = replica.changesFrom(end, request.inForce(topic))
 		}
 		go func() {
 			select {
