Refer routers that start together to their feeders instead of the readers

Cause: in the start of a large fleet all routers call the seeds, which mostly are readers. A reader is among the six sources that it refers others to, and so served each of them. Feeders that were loading themselves replied at once that they have nothing, which sent their followers to the readers as well. Change: a reader refers each router without a roster once, and serves it if it calls again. A source that is loading holds the calls of followers of a large fleet that have nothing either, until it has all topics.

--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -30,6 +30,8 @@
 	Await *Await `json:"await,omitempty"`
 	// Decompresses reports whether the follower takes compressed records; daemons of earlier versions don't.
 	Decompresses bool `json:"decompresses,omitempty"`
+	// LargeFleet reports whether the follower is known to be one of a fleet with feeders. A source that is loading itself holds its call.
+	LargeFleet bool `json:"large-fleet,omitempty"`
 }
 
 // Await names a topic of which a follower needs a newer confirmation.
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -25,18 +26,24 @@
 }
 
 // Server answers the calls of followers.
-type Server struct{ config ServerConfig }
+type Server struct {
+	config ServerConfig
+	mu     sync.Mutex // guards referred
+	// referred holds when each daemon without a roster was last referred to others, by address.
+	referred map[string]crlclock.Instant
+}
 
 // NewServer returns a Server of the given replicas.
 func NewServer(config ServerConfig) *Server {
 	if config.Exchange == nil {
 		config.Exchange = noExchange{}
 	}
-	return &Server{config: config}
+	return &Server{config: config, referred: make(map[string]crlclock.Instant)}
 }
 
 // Follow returns the changes since the request's cursors. It holds the call until there are changes or the requested wait
-// is over; a server whose replicas are not all loaded replies at once, so that the follower can try another source.
+// is over. A server whose replicas are not all loaded replies at once, so that the follower can try another source, unless the follower has nothing
+// either and the fleet is large.
 func (s *Server) Follow(ctx context.Context, request FollowRequest) (FollowResponse, error) {
 	if request.Source != s.config.Self {
 		request.Cursors = nil
@@ -49,8 +56,11 @@
 		return FollowResponse{Source: s.config.Self, Sources: sources}, nil
 	}
 	reply := Receive(s.config.Exchange, request.Exchange)
-	if s.loaded() {
+	switch {
+	case s.loaded():
 		s.wait(ctx, request)
+	case len(request.Ends) == 0 && request.LargeFleet:
+		s.waitForLoad(ctx, request)
 	}
 	answeredAt := s.config.Now()
 	response := FollowResponse{Source: s.config.Self, Topics: make(map[Topic]TopicDelta, len(s.config.Replicas)), Exchange: reply()}
@@ -80,24 +90,48 @@
 	return response, nil
 }
 
-// redirectSources is the number of sources that a follower is referred to.
-const redirectSources = 6
+const (
+	// redirectSources is the number of sources that a follower is referred to.
+	redirectSources = 6
+	// referralTime is the time after a referral in which a reader serves the daemon itself: it found no feeder that has anything.
+	referralTime = 10 * time.Second
+)
 
 // redirect returns the daemons that a follower without a roster should call instead of this one, nil if it may call this one. Seeds would
-// otherwise feed all daemons that start at the same time.
+// otherwise feed all daemons that start at the same time. The readers come last among these: seeds mostly are readers, so that two of them would feed all.
 func (s *Server) redirect(request FollowRequest) []Member {
 	roster := s.config.Roster()
 	if request.Self == nil || len(roster.Members) <= maxFlatMembers {
 		return nil
 	}
 	p := findPlace(roster, nil, *request.Self)
-	sources := p.sources[:min(redirectSources, len(p.sources))]
-	if p.reader || slices.ContainsFunc(sources, func(m Member) bool { return m.Address == s.config.Address }) {
+	sources := slices.Clone(p.sources[:min(redirectSources, len(p.sources))])
+	isSelf := func(m Member) bool { return m.Address == s.config.Address }
+	if p.reader {
+		return nil
+	}
+	isReader := slices.ContainsFunc(roster.Members[:ReaderCount], isSelf)
+	if slices.ContainsFunc(sources, isSelf) && (p.depth < 2 || !isReader || !s.refer(*request.Self, len(roster.Members))) {
 		return nil
 	}
 	return sources
 }
 
+// refer reports whether a daemon should be referred to others, and notes it: once, as one that calls again found no other source.
+func (s *Server) refer(follower Member, members int) bool {
+	now := s.config.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.referred[follower.Address]; ok && now.Sub(at) < referralTime {
+		return false
+	}
+	if len(s.referred) > 2*members {
+		clear(s.referred)
+	}
+	s.referred[follower.Address] = now
+	return true
+}
+
 // loaded reports whether all replicas but the optional ones are loaded.
 func (s *Server) loaded() bool {
 	for _, replica := range s.config.Replicas {
@@ -134,6 +168,23 @@
 	}
 }
 
+// waitForLoad returns once all replicas but the optional ones are confirmed, or when the requested wait is over. When all daemons start at once, their
+// feeders are loading too: followers that were sent away would load everything from the readers, over links between failure domains.
+func (s *Server) waitForLoad(ctx context.Context, request FollowRequest) {
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(request.MaxWait)*time.Millisecond, maxHold))
+	defer cancel()
+	for _, replica := range s.config.Replicas {
+		if replica.config.Optional {
+			continue
+		}
+		select {
+		case <-replica.confirmedAfter(0):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // renewalMargin is the time by which a confirmation must be newer than a follower's to be worth a reply. It is more than the way of a call.
 const renewalMargin = 100 * time.Millisecond
 
--- a/crlrelay/tree.go
+++ b/crlrelay/tree.go
@@ -92,6 +92,13 @@
 	return p
 }
 
+// inLargeFleet reports whether this daemon is known to be one of a fleet with feeders: by its roster, or because a source referred it to others.
+func (f *Follower) inLargeFleet() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.place.depth > 1 || len(f.roster.Members) > maxFlatMembers
+}
+
 // precedingInDomain returns the number of members of self's failure domain before it that follow feeders.
 func precedingInDomain(members []Member, feeders map[string]bool, self Member) (count int) {
 	for i, m := range members {
