Pack the records of a whole topic once for all followers

Cause: a follower that has nothing gets the entry of each server as a record of its own, uncompressed: 2,950 entries are more bytes than a configuration of 1,400 routes. They were encoded again for each follower. Change: a source compresses all records of a topic of 64 or more together, keeps the text, and sends it with the records that changed since. It is made anew after 64 changes, or when a deletion since is forgotten. Followers state that they take packs; earlier versions get single records as before.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -257,7 +257,7 @@
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, FollowRequest{
 		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), MaxWait: Milliseconds(wait.Milliseconds()), RosterDigest: f.Roster().digest(),
 		Self: f.selfWithoutRoster(), Roster: f.rosterForSource(), Exchange: f.config.Exchange.Request(isNew), Await: f.await(), Decompresses: true,
-		LargeFleet: f.inLargeFleet(),
+		Unpacks: true, LargeFleet: f.inLargeFleet(),
 	}, &response)
 	if err != nil {
 		f.cause = err.Error()
@@ -371,7 +371,7 @@
 		if !ok || delta.ConfirmationAge < 0 {
 			continue
 		}
-		records, err := decodeRecords(delta.Records)
+		records, err := delta.decodeAll()
 		if err != nil {
 			f.cause = err.Error()
 			return false
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -32,6 +32,8 @@
 	Decompresses bool `json:"decompresses,omitempty"`
 	// LargeFleet reports whether the follower is known to be one of a fleet with feeders. A source that is loading itself holds its call.
 	LargeFleet bool `json:"large-fleet,omitempty"`
+	// Unpacks reports whether the follower takes packed records; daemons of earlier versions don't.
+	Unpacks bool `json:"unpacks,omitempty"`
 }
 
 // Await names a topic of which a follower needs a newer confirmation.
@@ -55,6 +57,7 @@
 type TopicDelta struct {
 	Full            bool         `json:"whole"` // whether Records holds every key, so that the follower deletes all others
 	Records         []Record     `json:"records,omitempty"`
+	Packed          []byte       `json:"packed,omitempty"` // further records, which come before Records: their JSON text, compressed by DEFLATE
 	Cursor          Cursor       `json:"cursor"`
 	End             crlid.Offset `json:"end"`    // offset at which the topic ended when the replica last read it
 	ConfirmationAge Milliseconds `json:"age-ms"` // time since the replica was last confirmed to be complete; negative for never
--- a/crlrelay/record.go
+++ b/crlrelay/record.go
@@ -72,10 +72,7 @@
 	if !message.Compressed {
 		return r, nil
 	}
-	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(message.Value)), maxValueBytes+1))
-	if err == nil && len(value) > maxValueBytes {
-		err = errValueSize
-	}
+	value, err := decompress(message.Value)
 	if err != nil {
 		return crlplatform.KeyedRecord{}, fmt.Errorf("decompress record %s at offset %d: %w", message.Key, message.Offset, err)
 	}
@@ -83,6 +80,15 @@
 	return r, nil
 }
 
+// decompress returns the value that was compressed, or an error if it is damaged or larger than maxValueBytes.
+func decompress(compressed []byte) ([]byte, error) {
+	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxValueBytes+1))
+	if err == nil && len(value) > maxValueBytes {
+		err = errValueSize
+	}
+	return value, err
+}
+
 // decodeRecords returns the records of messages.
 func decodeRecords(messages []Record) ([]crlplatform.KeyedRecord, error) {
 	records := make([]crlplatform.KeyedRecord, 0, len(messages))
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -28,6 +28,7 @@
 // Server answers the calls of followers.
 type Server struct {
 	config ServerConfig
+	packs  map[Topic]*pack
 	mu     sync.Mutex // guards referred
 	// referred holds when each daemon without a roster was last referred to others, by address.
 	referred map[string]crlclock.Instant
@@ -38,7 +39,11 @@
 	if config.Exchange == nil {
 		config.Exchange = noExchange{}
 	}
-	return &Server{config: config, referred: make(map[string]crlclock.Instant)}
+	packs := make(map[Topic]*pack, len(config.Replicas))
+	for topic := range config.Replicas {
+		packs[topic] = new(pack)
+	}
+	return &Server{config: config, packs: packs, referred: make(map[string]crlclock.Instant)}
 }
 
 // Follow returns the changes since the request's cursors. It holds the call until there are changes or the requested wait
@@ -80,9 +85,7 @@
 		if d.confirmedAt > 0 {
 			age = Milliseconds(answeredAt.Sub(d.confirmedAt).Milliseconds() + 1)
 		}
-		response.Topics[topic] = TopicDelta{
-			Full: d.full, Records: d.messages(request.Decompresses), Cursor: d.cursor, End: d.end, ConfirmationAge: age,
-		}
+		response.Topics[topic] = s.encode(topic, &d, request, age)
 	}
 	if roster := s.config.Roster(); roster.digest() != request.RosterDigest {
 		response.Roster = &roster
@@ -90,6 +93,18 @@
 	return response, nil
 }
 
+// encode returns the message of a delta.
+func (s *Server) encode(topic Topic, d *delta, request FollowRequest, age Milliseconds) TopicDelta {
+	message := TopicDelta{Full: d.full, Cursor: d.cursor, End: d.end, ConfirmationAge: age}
+	if request.Unpacks {
+		s.packs[topic].addTo(&message, d)
+	}
+	if message.Packed == nil {
+		message.Records = d.messages(request.Decompresses)
+	}
+	return message
+}
+
 const (
 	// redirectSources is the number of sources that a follower is referred to.
 	redirectSources = 6
