Compute once per selection what all servers' scores share

Cause: crlfleet.Fleet.score looked up the service's load, computed the expected wait of a segment and asked for the age of the entries for each server of a selection, though these are the same for all of them. Every further term of the score would add to that.

Change: scoreContext (score.go) is filled once per selection and holds the need, the load of the service, whether the fleet is large, the usual latency, the expected waits by segment, the cost of another failure domain, the cost of unconfirmed entries, the interval of the request's size and the holder of its prompt. score is a method of it.

--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -151,16 +151,12 @@
 	}
 	candidates = f.withRoom(candidates, need)
 	f.updatePlaces(need.Service, now)
-	interval := f.interval(need.Service, need.Work, now)
-	holder := need.Affinity.holder(preferredBy(&interval, candidates))
+	c := f.newScoreContext(&need, now)
+	c.holder = need.Affinity.holder(preferredBy(&c.interval, candidates))
 	for len(candidates) > 0 {
 		best, lowest := 0, math.Inf(1)
 		for i, s := range candidates {
-			score := f.score(s, need, now) + interval.Penalty(s.place)
-			if s == holder {
-				score -= need.Affinity.Saving
-			}
-			if score < lowest {
+			if score := c.score(s); score < lowest {
 				best, lowest = i, score
 			}
 		}
@@ -203,30 +199,6 @@
 	return holder
 }
 
-// score estimates the time to the first byte of the server's answer, in seconds. The work at a server that is slower than
-// usual for its service takes longer in proportion, and at a cold server the request's own work counts once more.
-func (f *Fleet) score(s *server, need Need, now crlclock.Instant) float64 {
-	l := f.serviceLoad(need.Service)
-	usual := l.latencyFactor.mean(1)
-	slowness := max(s.health.latency.mean(usual)/usual, 1)
-	wait := s.health.decayedWait(now)
-	if f.IsLarge() {
-		wait = max(wait, l.segments[segment(s.place)].expected(now))
-	}
-	score := (s.pendingWork+need.Work)*slowness + s.remote.work + wait + f.remoteScore(s, l)
-	score += f.unconfirmedCost(s, now)
-	if s.coldUntil > now {
-		score += need.Work
-	}
-	if s.entry.Domain != f.config.Domain {
-		score += crossDomainCost
-		if l.remote.active {
-			score += crossDomainRaceCost
-		}
-	}
-	return score + f.config.Random()*scoreJitter
-}
-
 // takeColdToken takes a token from a bucket of a cold server and reports whether there was one. It reports true for a server that is not
 // cold, which needs none.
 //
--- a/crlfleet/unconfirmed.go
+++ b/crlfleet/unconfirmed.go
@@ -20,13 +20,26 @@
 	f.entryAge = entryAge{confirmedAt: confirmedAt, bound: bound}
 }
 
-// unconfirmedCost returns what a score adds for a server that may have left, in seconds: nothing unless the entries are too old, and nothing for
-// one that has answered a request that this daemon sent within the bound. The others come after these, and serve requests if these
-// are at their limits or have a longer wait than the bound.
-func (f *Fleet) unconfirmedCost(s *server, now crlclock.Instant) float64 {
+// unconfirmedCost is what a score adds for a server that may have left, the same for all servers in one selection.
+type unconfirmedCost struct {
+	seconds float64       // 0 unless the entries are too old
+	bound   time.Duration // see entryAge
+}
+
+// newUnconfirmedCost returns the cost at a time.
+func (f *Fleet) newUnconfirmedCost(now crlclock.Instant) unconfirmedCost {
 	a := f.entryAge
-	if a.confirmedAt == nil || s.answeredAt > 0 && now.Sub(s.answeredAt) <= a.bound || now.Sub(a.confirmedAt()) <= a.bound {
+	if a.confirmedAt == nil || now.Sub(a.confirmedAt()) <= a.bound {
+		return unconfirmedCost{}
+	}
+	return unconfirmedCost{seconds: a.bound.Seconds(), bound: a.bound}
+}
+
+// of returns the cost of a server in seconds: nothing for one that has answered a request that this daemon sent within the bound. The others
+// come after these, and serve requests if these are at their limits or have a longer wait than the bound.
+func (u unconfirmedCost) of(s *server, now crlclock.Instant) float64 {
+	if s.answeredAt > 0 && now.Sub(s.answeredAt) <= u.bound {
 		return 0
 	}
-	return a.bound.Seconds()
+	return u.seconds
 }
