--- a/crlfleet/candidate.go
+++ b/crlfleet/candidate.go
@@ -11,10 +11,9 @@
 
 // candidate is a server that a selection may pick.
 type candidate struct {
-	server   *server
-	index    int     // in the list of the service
-	isInside bool    // whether the server is in the request's interval
-	penalty  float64 // delay in seconds that is expected outside of the interval
+	server    *server
+	index     int  // in the list of the service
+	isOutside bool // whether the server is outside of the request's interval
 }
 
 // candidatesOf returns the candidates of a selection, see best. The slice is valid until the next call.
@@ -23,8 +22,8 @@
 	candidates := f.candidates[:0]
 	for i, s := range f.services[need.Service] {
 		if !f.inService(s) || s.pausedUntil > now || s.brittle != nil && !f.hasPlace(s, now) ||
-			len(need.Exclude) > 0 && need.Exclude[s.entry.Server] || !need.Allows(s.entry.Version) ||
-			preferred && !need.Prefers(s.entry.Version) || available && max(s.health.backoffUntil, s.newVersionUntil) > now {
+			len(need.Exclude) > 0 && need.Exclude[s.entry.Server] || !c.allows(s, preferred) ||
+			available && max(s.health.backoffUntil, s.newVersionUntil) > now {
 			continue
 		}
 		candidates = append(candidates, candidate{server: s, index: i})
@@ -34,16 +33,36 @@
 		candidates = fewest(candidates, need.FewServers)
 	}
 	candidates = c.withRoom(candidates)
+	if c.interval.IsAll() {
+		return candidates
+	}
 	for i := range candidates {
 		n := &candidates[i]
-		n.isInside = c.interval.Contains(n.server.place)
-		if !n.isInside {
-			n.penalty = c.interval.Penalty(n.server.place)
-		}
+		n.isOutside = !c.interval.Contains(n.server.place)
 	}
 	return candidates
 }
 
+// versionVerdict is what a request says about a version.
+type versionVerdict struct{ isAllowed, isPreferred bool }
+
+// judgeVersions asks the request once about each version of the service's servers. The slice is valid until the next call.
+func (f *Fleet) judgeVersions(l *serviceLoad, need *Need) []versionVerdict {
+	f.verdicts = f.verdicts[:0]
+	for _, v := range l.versions {
+		verdict := versionVerdict{isAllowed: need.Allows(v)}
+		verdict.isPreferred = verdict.isAllowed && need.Prefers(v)
+		f.verdicts = append(f.verdicts, verdict)
+	}
+	return f.verdicts
+}
+
+// allows reports whether the request may run on a server, or if preferred is set whether it should.
+func (c *scoreContext) allows(s *server, preferred bool) bool {
+	v := c.versions[s.version]
+	return v.isPreferred || !preferred && v.isAllowed
+}
+
 // fewest returns the candidates without those beyond the given number of servers of their version, by the order of their IDs, which is
 // the same at all daemons.
 func fewest(candidates []candidate, limits map[crlid.Version]int) []candidate {
@@ -70,11 +89,16 @@
 		return candidates
 	}
 	limit := float64(c.need.MemoryTokens - c.need.Tokens)
-	lacksRoom := func(n candidate) bool { return !(n.server.tokens+n.server.remote.tokens <= limit) }
-	if !slices.ContainsFunc(candidates, func(n candidate) bool { return !lacksRoom(n) }) {
+	withRoom := 0
+	for i := range candidates {
+		if s := candidates[i].server; s.tokens+s.remote.tokens <= limit {
+			withRoom++
+		}
+	}
+	if withRoom == 0 || withRoom == len(candidates) {
 		return candidates
 	}
-	return slices.DeleteFunc(candidates, lacksRoom)
+	return slices.DeleteFunc(candidates, func(n candidate) bool { return !(n.server.tokens+n.server.remote.tokens <= limit) })
 }
 
 const (
@@ -99,7 +123,7 @@
 	for i := range candidates {
 		n := &candidates[i]
 		switch {
-		case holder == nil, n.isInside && !holder.isInside, n.isInside == holder.isInside && hashes[n.index] > hashes[holder.index]:
+		case holder == nil, holder.isOutside && !n.isOutside, n.isOutside == holder.isOutside && hashes[n.index] > hashes[holder.index]:
 			holder = n
 		}
 	}
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -32,7 +32,7 @@
 	ColdRatio    float64        // a cold server gets at most ColdRatio * Need.ColdRate + ColdSlack requests in any second
 	ColdSlack    float64        // requests that a cold server may get beyond the ratio in any second, from all daemons together
 	Loads        Loads          // exchanges the load of model engines with other daemons; nil for none
-	Random       func() float64 // returns random numbers in [0, 1); nil for math/rand/v2
+	Random       func() float64 // returns random numbers in [0, 1), called with the fleet locked; nil for math/rand/v2
 	Now          crlclock.Clock
 	OnTransition func(Transition) // called on each change of a server's state, with the fleet locked; nil for none
 }
@@ -80,26 +80,29 @@
 	Cause  string // why the state changed, for the log
 }
 
-// server is one backend server, with this daemon's observations.
+// server is one backend server, with this daemon's observations. The fields that every selection reads come first: those of all servers
+// then fit into the processor's cache.
 type server struct {
+	removed         bool             // the server no longer has an entry
+	statedLeaving   bool             // an answer stated that the server leaves
+	isEvacuated     bool             // the failure domain of the server is evacuated
+	coldUntil       crlclock.Instant // the server is cold until then
+	newVersionUntil crlclock.Instant // other servers are preferred until then; see newVersionDelay
+	pausedUntil     crlclock.Instant
+	answeredAt      crlclock.Instant // when the latest request that it answered was sent, 0 for none
+	brittle         *brittleness     // nil for a server that isn't
+	limit           *statedLimit     // nil without one
+	pendingWork     float64          // work of this daemon's open requests, in seconds of an unloaded server
+	tokens          float64          // tokens of this daemon's open requests, if their load is exchanged
+	remote          remoteLoad
+	place           crlpartition.Place // as of serviceLoad.placedAt
+	segment         int                // that the place belongs to
+	version         int                // index in serviceLoad.versions
+	health          health
 	entry           Entry
-	coldUntil       crlclock.Instant   // the server is cold until then
-	newVersionUntil crlclock.Instant   // other servers are preferred until then; see newVersionDelay
 	coldBuckets     []crlbudget.Bucket // limit the rate of requests while the server is cold; each belongs to a slot
 	openRequests    int
-	pendingWork     float64 // work of this daemon's open requests, in seconds of an unloaded server
-	tokens          float64 // tokens of this daemon's open requests, if their load is exchanged
-	remote          remoteLoad
-	health          health
-	limit           *statedLimit // nil without one
-	brittle         *brittleness // nil for a server that isn't
-	pausedUntil     crlclock.Instant
-	statedLeaving   bool               // an answer stated that the server leaves
-	removed         bool               // the server no longer has an entry
-	isEvacuated     bool               // the failure domain of the server is evacuated
-	place           crlpartition.Place // as of serviceLoad.placedAt
-	order           uint64             // see placeOrder
-	answeredAt      crlclock.Instant   // when the latest request that it answered was sent, 0 for none
+	order           uint64 // see placeOrder
 }
 
 // Fleet holds the known servers of all services. It is safe for concurrent use.
@@ -113,8 +116,10 @@
 	entryAge  entryAge
 	leaving   map[crlid.Server]time.Time // start times of the servers that stated in an answer that they leave
 
-	candidates []candidate // reused by selections
-	hashed     []byte      // reused by holderHashes
+	candidates []candidate      // reused by selections
+	verdicts   []versionVerdict // reused by selections
+	hashed     []byte           // reused by holderHashes
+	generator  *rand.PCG        // used without Config.Random
 }
 
 // serviceLoad holds what this daemon's requests showed about the load of a service.
@@ -126,6 +131,7 @@
 	partition     crlpartition.Partition
 	placedAt      crlclock.Instant // when the places of the servers were last computed
 	ordered       []*server        // servers of the service in the order of their places, empty if not known
+	versions      []crlid.Version  // of these servers
 	holders       [holderKeyCount]holderHashes
 	remote        remoteState
 }
@@ -142,19 +148,36 @@
 
 // New returns a fleet without servers.
 func New(config Config) *Fleet {
-	if config.Random == nil {
-		config.Random = rand.Float64
-	}
 	if config.OnTransition == nil {
 		config.OnTransition = func(Transition) {}
 	}
 	return &Fleet{
-		config: config, servers: make(map[crlid.Server]*server), services: make(map[crlid.Service][]*server),
+		config: config, generator: rand.NewPCG(rand.Uint64(), rand.Uint64()), servers: make(map[crlid.Server]*server), services: make(map[crlid.Service][]*server),
 		evacuated: make(map[crlid.Domain]bool), loads: make(map[crlid.Service]*serviceLoad),
 		leaving: make(map[crlid.Server]time.Time),
 	}
 }
 
+// random returns a random number in [0, 1).
+func (f *Fleet) random() float64 {
+	if f.config.Random != nil {
+		return f.config.Random()
+	}
+	const bits = 53 // of the mantissa
+	return float64(f.generator.Uint64()>>(64-bits)) / (1 << bits)
+}
+
+// random2 returns two random numbers in [0, 1), of 32 bits each without Config.Random. A selection takes two for each server: the generator
+// of math/rand/v2, which is safe for concurrent use, takes several times as long for them.
+func (f *Fleet) random2() (first, second float64) {
+	if f.config.Random != nil {
+		return f.config.Random(), f.config.Random()
+	}
+	const bits = 32
+	both := f.generator.Uint64()
+	return float64(both>>bits) / (1 << bits), float64(uint32(both)) / (1 << bits)
+}
+
 // Announce adds a server or replaces its entry. Entries of one server must be announced from the oldest to the newest.
 func (f *Fleet) Announce(e Entry, now crlclock.Instant) {
 	f.mu.Lock()
@@ -177,7 +200,7 @@
 		f.removeFromService(s, before.Service)
 		f.services[e.Service] = append(f.services[e.Service], s)
 	}
-	if before.Service != e.Service || before.Domain != e.Domain {
+	if before.Service != e.Service || before.Domain != e.Domain || before.Version != e.Version {
 		f.forgetOrder(e.Service)
 	}
 	s.isEvacuated = f.evacuated[e.Domain]
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -97,7 +97,7 @@
 	s.openRequests++
 	s.pendingWork += need.Work + need.WorkAfter
 	l.backlog(need.Work).begin(need.Work)
-	segment := &l.segments[segment(s.place)]
+	segment := &l.segments[s.segment]
 	segment.begin(now)
 	*p = Pick{
 		Server: s.entry.Server, Address: s.entry.Address, Version: s.entry.Version,
@@ -165,7 +165,11 @@
 			if n.server == holder {
 				saving = c.need.Affinity.Saving
 			}
-			if score := c.score(n.server, lowest+saving) + n.penalty - saving; score < lowest {
+			score := c.score(n.server, lowest+saving)
+			if n.isOutside && score-saving < lowest {
+				score += c.interval.Penalty(n.server.place)
+			}
+			if score -= saving; score < lowest {
 				best, lowest = i, score
 			}
 		}
--- a/crlfleet/pick_bench_test.go
+++ b/crlfleet/pick_bench_test.go
@@ -1,6 +1,7 @@
 package crlfleet
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -38,9 +39,11 @@
 			tb.Fatal(err)
 		}
 		if isShared {
+			l.need.Work = []float64{0.02, 0.1, 0.6}[n%3]
 			p.RecordFirstByte(p.ExpectedFirstByte + time.Duration(n)*time.Millisecond)
 		}
 	}
+	l.need.Work = 0.1
 	return l
 }
 
@@ -55,7 +58,7 @@
 }
 
 // BenchmarkPick measures the selection among 140 servers with 1,000 open requests: of a plain service, of model engines, and of model engines
-// that have shown waits for requests with a shared prefix.
+// that have shown waits, for requests of several sizes that share a prefix.
 func BenchmarkPick(b *testing.B) {
 	for _, c := range []struct {
 		name               string
@@ -71,6 +74,7 @@
 		b.Run(c.name+"/former", func(b *testing.B) {
 			l := newPickLoad(b, c.isEngine, c.isShared)
 			former := formerFleet{l.fleet}
+			l.fleet.config.Random = rand.Float64
 			b.ReportAllocs()
 			for b.Loop() {
 				l.now = l.now.Add(2 * time.Millisecond)
--- a/crlfleet/remote.go
+++ b/crlfleet/remote.go
@@ -123,6 +123,7 @@
 	}
 	missing := others - known
 	arriving := r.work.perSecond(now) * known // seconds of work that the known daemons send in a second
+	tokenRate := r.tokens.perSecond(now)
 	r.totals = r.totals[:0]
 	age := time.Duration(0)
 	for _, s := range servers {
@@ -132,7 +133,7 @@
 		unread := max(reported.PromptSeconds-age.Seconds()*arriving/count, 0)
 		s.remote.work = unread + reported.Requests*r.workAfter.mean(0) + missing*ownWork
 		// Requests that ended since are not deducted: an engine without memory for its requests fails, which costs more than a detour.
-		s.remote.tokens = reported.Tokens + missing*ownTokens + age.Seconds()*r.tokens.perSecond(now)*known/count
+		s.remote.tokens = reported.Tokens + missing*ownTokens + age.Seconds()*tokenRate*known/count
 		if f.inService(s) {
 			r.totals = append(r.totals, s.remote.work)
 		}
@@ -175,12 +176,10 @@
 	return quantiles
 }()
 
-// remoteScore returns the part of a server's score for requests in proportion to room, 0 if the load of other daemons is not known.
-func (f *Fleet) remoteScore(s *server, l *serviceLoad) float64 {
-	if !l.remote.active {
-		return 0
-	}
-	return s.remote.bias - raceScale*gumbels[int(f.config.Random()*float64(len(gumbels)))]
+// remoteScore returns the part of a server's score for requests in proportion to room, if the load of other daemons is known, for a random
+// number in [0, 1).
+func remoteScore(s *server, random float64) float64 {
+	return s.remote.bias - raceScale*gumbels[int(random*float64(len(gumbels)))]
 }
 
 // beginLoad records the load of a send, for this daemon and others.
--- a/crlfleet/score.go
+++ b/crlfleet/score.go
@@ -20,13 +20,14 @@
 	otherDomain  float64               // cost of a server in another failure domain, in seconds
 	unconfirmed  unconfirmedCost
 	interval     crlpartition.Interval
+	versions     []versionVerdict // by server.version
 }
 
-// newScoreContext returns the context for a selection. The places of the service's servers must be up to date.
+// newScoreContext returns the context for a selection. The order and the places of the service's servers must be up to date.
 func (f *Fleet) newScoreContext(l *serviceLoad, need *Need, now crlclock.Instant) scoreContext {
 	c := scoreContext{
 		fleet: f, need: need, load: l, now: now, isLarge: f.IsLarge(), usualLatency: l.latencyFactor.mean(1), otherDomain: crossDomainCost,
-		unconfirmed: f.newUnconfirmedCost(now), interval: f.interval(l, need.Service, need.Work, now),
+		unconfirmed: f.newUnconfirmedCost(now), interval: f.interval(l, need.Service, need.Work, now), versions: f.judgeVersions(l, need),
 	}
 	if c.isLarge {
 		for i := range c.segmentWaits {
@@ -45,9 +46,15 @@
 // score estimates the time to the first byte of the server's answer, in seconds, without the penalty outside of the interval and what the
 // holder saves. It returns infinity if the score exceeds the limit and is not needed exactly: the decay of an observed wait takes longer to compute than the other terms together.
 func (c *scoreContext) score(s *server, limit float64) float64 {
-	race := c.fleet.remoteScore(s, c.load)
-	jitter := c.fleet.config.Random() * scoreJitter
-	wait := c.segmentWaits[segment(s.place)]
+	race, jitter := 0.0, 0.0
+	if c.load.remote.active {
+		race, jitter = c.fleet.random2()
+		race = remoteScore(s, race)
+	} else {
+		jitter = c.fleet.random()
+	}
+	jitter *= scoreJitter
+	wait := c.segmentWaits[s.segment]
 	if s.health.wait > wait {
 		if c.sum(s, wait, race, jitter) > limit+scoreSlack {
 			return math.Inf(1)
--- a/crlfleet/statement.go
+++ b/crlfleet/statement.go
@@ -142,7 +142,7 @@
 func (l *statedLimit) checkInterval(f *Fleet) time.Duration {
 	const spread = 0.5
 	mean := float64(f.config.Daemons()) / ((1 - leasedLimitShare) * max(l.perSecond, minStatedLimit))
-	return time.Duration(mean * (1 + spread*(2*f.config.Random()-1)) * float64(time.Second))
+	return time.Duration(mean * (1 + spread*(2*f.random()-1)) * float64(time.Second))
 }
 
 // takeLimitToken takes a token of a server's stated limit and reports whether there was one. It reports true for a server without a limit.
--- a/crlfleet/wait.go
+++ b/crlfleet/wait.go
@@ -113,7 +113,7 @@
 	for _, s := range f.services[service] {
 		if f.inService(s) {
 			servers++
-			wait = min(wait, waits[segment(s.place)]+interval.Penalty(s.place))
+			wait = min(wait, waits[s.segment]+interval.Penalty(s.place))
 		}
 	}
 	if servers == 0 {
--- a/crlpartition/interval.go
+++ b/crlpartition/interval.go
@@ -13,13 +13,32 @@
 type Place struct {
 	Rank    int // number of servers before it in the order on which all daemons agree
 	Servers int // number of servers, 0 if unknown
+
+	begin, end float64 // set by NewPlace, else 0
+}
+
+// NewPlace returns a place whose positions are computed once, for servers that many intervals are compared with.
+func NewPlace(rank, servers int) Place {
+	p := Place{Rank: rank, Servers: servers}
+	p.begin, p.end = p.from(), p.to()
+	return p
 }
 
 // from returns the position at which the server's part begins. All servers have equal parts.
-func (p Place) from() float64 { return float64(p.Rank) / float64(p.Servers) }
+func (p Place) from() float64 {
+	if p.end > 0 {
+		return p.begin
+	}
+	return float64(p.Rank) / float64(p.Servers)
+}
 
 // to returns the position at which the server's part ends.
-func (p Place) to() float64 { return float64(p.Rank+1) / float64(p.Servers) }
+func (p Place) to() float64 {
+	if p.end > 0 {
+		return p.end
+	}
+	return float64(p.Rank+1) / float64(p.Servers)
+}
 
 // Width returns the share of the servers that the requests prefer, above 0 and at most 1.
 func (i *Interval) Width() float64 {
@@ -29,6 +48,9 @@
 	return max(i.to-i.from, minWidth)
 }
 
+// IsAll reports whether the requests prefer all servers, whatever their places.
+func (i *Interval) IsAll() bool { return i.from == 0 && (i.to == 0 || i.to >= 1) }
+
 // Contains reports whether requests of the interval's size prefer the server at a place. A part of the server's positions suffices.
 func (i *Interval) Contains(place Place) bool {
 	if place.Servers < minServerCount || i.from == 0 && i.to == 0 {
