--- a/crlfleet/pick_bench_test.go
+++ b/crlfleet/pick_bench_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// BenchmarkRarePick measures the same for model engines at a daemon that sends ten requests a second: each selection looks at the load of other
+// daemons and updates the places of the servers every other time.
+func BenchmarkRarePick(b *testing.B) {
+	l := newPickLoad(b, true, true)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.now = l.now.Add(98 * time.Millisecond)
+		l.send(b)
+	}
+}
+
 // TestPickAllocatesNothing guards against memory that a selection allocates for each request, or for each server of the service.
 func TestPickAllocatesNothing(t *testing.T) {
 	l := newPickLoad(t, true, true)
--- a/crlfleet/remote.go
+++ b/crlfleet/remote.go
@@ -144,11 +144,10 @@
 	slices.Sort(r.totals)
 	lowest, level := r.totals[0], fillLevel(r.totals, arriving*age.Seconds())
 	for _, s := range servers {
-		room := minRoomShare
-		if level > lowest {
-			room = max((level-s.remote.work)/(level-lowest), minRoomShare)
+		s.remote.bias = maxBias
+		if level > lowest && s.remote.work < level {
+			s.remote.bias = -raceScale * math.Log(max((level-s.remote.work)/(level-lowest), minRoomShare))
 		}
-		s.remote.bias = -raceScale * math.Log(room)
 		s.remote.work = max(s.remote.work, level)
 	}
 }
@@ -167,6 +166,9 @@
 	return level + volume/float64(len(heights))
 }
 
+// maxBias is the remoteLoad.bias of a server without room.
+var maxBias = -raceScale * math.Log(minRoomShare)
+
 // gumbels are quantiles of the Gumbel distribution. Of several servers, the one with the highest sum of its logarithm of room and a random
 // one of these wins in proportion to its room. A table saves two logarithms for each server and request.
 var gumbels = func() (quantiles [512]float64) {
