--- a/crlfleet/place.go
+++ b/crlfleet/place.go
@@ -20,38 +20,58 @@
 // together, so that those of a new version get the same mix of sizes as the others, which a roll-out compares them with.
 func (f *Fleet) updatePlaces(service crlid.Service, now crlclock.Instant) {
 	l := f.serviceLoad(service)
+	f.updateOrder(l, service)
 	if l.placedAt > 0 && now.Sub(l.placedAt) < placesInterval {
 		return
 	}
 	l.placedAt = now
-	groups := make(map[crlid.Domain][]*server)
-	for _, s := range f.services[service] {
-		s.place = crlpartition.Place{}
-		if f.inService(s) {
-			groups[s.entry.Domain] = append(groups[s.entry.Domain], s)
+	for begin, end := 0, 0; begin < len(l.ordered); begin = end {
+		inService := 0
+		for ; end < len(l.ordered) && l.ordered[end].entry.Domain == l.ordered[begin].entry.Domain; end++ {
+			if f.inService(l.ordered[end]) {
+				inService++
+			}
 		}
-	}
-	for _, group := range groups {
-		slices.SortFunc(group, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
-		for rank, s := range group {
-			s.place = crlpartition.Place{Rank: rank, Servers: len(group)}
+		rank := 0
+		for _, s := range l.ordered[begin:end] {
+			s.place = crlpartition.Place{}
+			if f.inService(s) {
+				s.place = crlpartition.NewPlace(rank, inService)
+				rank++
+			}
+			s.segment = segment(s.place)
 		}
 	}
 }
 
-// placeOrder returns the key by which all daemons order the servers of a group.
-func placeOrder(id crlid.Server) uint64 { return xxhash.Sum64String(string(id)) }
-
-// preferredBy returns the candidates in the interval, or all if there is none.
-func preferredBy(interval *crlpartition.Interval, candidates []*server) []*server {
-	var preferred []*server
-	for _, s := range candidates {
-		if interval.Contains(s.place) {
-			preferred = append(preferred, s)
+// updateOrder orders a service's servers and numbers their versions, unless that was done since the last change.
+func (f *Fleet) updateOrder(l *serviceLoad, service crlid.Service) {
+	if len(l.ordered) > 0 {
+		return
+	}
+	l.ordered = append(l.ordered, f.services[service]...)
+	slices.SortFunc(l.ordered, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.entry.Domain, b.entry.Domain), cmp.Compare(a.order, b.order))
+	})
+	l.versions = l.versions[:0]
+	for _, s := range l.ordered {
+		s.version = slices.Index(l.versions, s.entry.Version)
+		if s.version < 0 {
+			s.version = len(l.versions)
+			l.versions = append(l.versions, s.entry.Version)
 		}
 	}
-	if len(preferred) == 0 {
-		return candidates
+}
+
+// forgetOrder discards what was computed from the list of a service's servers, their domains and their versions.
+func (f *Fleet) forgetOrder(service crlid.Service) {
+	l := f.serviceLoad(service)
+	clear(l.ordered)
+	l.ordered = l.ordered[:0]
+	for i := range l.holders {
+		l.holders[i].key = ""
 	}
-	return preferred
 }
+
+// placeOrder returns the key by which all daemons order the servers of a group.
+func placeOrder(id crlid.Server) uint64 { return xxhash.Sum64String(string(id)) }
--- a/crlfleet/remote.go
+++ b/crlfleet/remote.go
@@ -83,8 +83,8 @@
 }
 
 // refreshRemote updates what other daemons are expected to have at the servers of a request's service.
-func (f *Fleet) refreshRemote(need Need, now crlclock.Instant) {
-	r := &f.serviceLoad(need.Service).remote
+func (f *Fleet) refreshRemote(l *serviceLoad, need *Need, now crlclock.Instant) {
+	r := &l.remote
 	others := 0
 	if f.config.Loads != nil && need.Engine {
 		others = f.config.Daemons() - 1
@@ -123,6 +123,7 @@
 	}
 	missing := others - known
 	arriving := r.work.perSecond(now) * known // seconds of work that the known daemons send in a second
+	tokenRate := r.tokens.perSecond(now)
 	r.totals = r.totals[:0]
 	age := time.Duration(0)
 	for _, s := range servers {
@@ -132,7 +133,7 @@
 		unread := max(reported.PromptSeconds-age.Seconds()*arriving/count, 0)
 		s.remote.work = unread + reported.Requests*r.workAfter.mean(0) + missing*ownWork
 		// Requests that ended since are not deducted: an engine without memory for its requests fails, which costs more than a detour.
-		s.remote.tokens = reported.Tokens + missing*ownTokens + age.Seconds()*r.tokens.perSecond(now)*known/count
+		s.remote.tokens = reported.Tokens + missing*ownTokens + age.Seconds()*tokenRate*known/count
 		if f.inService(s) {
 			r.totals = append(r.totals, s.remote.work)
 		}
@@ -143,11 +144,10 @@
 	slices.Sort(r.totals)
 	lowest, level := r.totals[0], fillLevel(r.totals, arriving*age.Seconds())
 	for _, s := range servers {
-		room := minRoomShare
-		if level > lowest {
-			room = max((level-s.remote.work)/(level-lowest), minRoomShare)
+		s.remote.bias = maxBias
+		if level > lowest && s.remote.work < level {
+			s.remote.bias = -raceScale * math.Log(max((level-s.remote.work)/(level-lowest), minRoomShare))
 		}
-		s.remote.bias = -raceScale * math.Log(room)
 		s.remote.work = max(s.remote.work, level)
 	}
 }
@@ -166,6 +166,9 @@
 	return level + volume/float64(len(heights))
 }
 
+// maxBias is the remoteLoad.bias of a server without room.
+var maxBias = -raceScale * math.Log(minRoomShare)
+
 // gumbels are quantiles of the Gumbel distribution. Of several servers, the one with the highest sum of its logarithm of room and a random
 // one of these wins in proportion to its room. A table saves two logarithms for each server and request.
 var gumbels = func() (quantiles [512]float64) {
@@ -175,29 +178,14 @@
 	return quantiles
 }()
 
-// remoteScore returns the part of a server's score for requests in proportion to room, 0 if the load of other daemons is not known.
-func (f *Fleet) remoteScore(s *server, l *serviceLoad) float64 {
-	if !l.remote.active {
-		return 0
-	}
-	return s.remote.bias - raceScale*gumbels[int(f.config.Random()*float64(len(gumbels)))]
-}
-
-// withRoom returns the candidates that have memory for a request, or all of them if none has.
-func (f *Fleet) withRoom(candidates []*server, need Need) []*server {
-	if need.MemoryTokens <= 0 || !f.serviceLoad(need.Service).remote.active {
-		return candidates
-	}
-	limit := float64(need.MemoryTokens - need.Tokens)
-	hasRoom := func(s *server) bool { return s.tokens+s.remote.tokens <= limit }
-	if !slices.ContainsFunc(candidates, hasRoom) {
-		return candidates
-	}
-	return slices.DeleteFunc(candidates, func(s *server) bool { return !hasRoom(s) })
+// remoteScore returns the part of a server's score for requests in proportion to room, if the load of other daemons is known, for a random
+// number in [0, 1).
+func remoteScore(s *server, random float64) float64 {
+	return s.remote.bias - raceScale*gumbels[int(random*float64(len(gumbels)))]
 }
 
 // beginLoad records the load of a send, for this daemon and others.
-func (f *Fleet) beginLoad(p *Pick, need Need, now crlclock.Instant) {
+func (f *Fleet) beginLoad(p *Pick, need *Need, now crlclock.Instant) {
 	if f.config.Loads == nil || !need.Engine {
 		return
 	}
