Send what changed in the load of servers in large fleets

Cause: each message stated the load of every server. With 2,950 servers the exchange sent most of what crossed between failure domains in a calm fleet, and the busiest router over 800 kB/s. Change: in fleets of more than 24 routers, messages state what changed since one that the receiver has: the largest changes first, within 250 bytes for each router of the follower's subtree (2,000 to 8,000). A server that would be seen as idle is always stated. Requests say that changes are taken in a way that earlier versions don't read; these get whole sums and send them. TestKnownServersAreLeftOut is about whole sums, and so uses a fleet of 24 now. Evidence: TestChangesAddUp, TestLargestChangesComeFirst, TestEarlierVersionsGetWholeSums, TestLostReplyIsReplacedByAWholeSum; TestTrafficBetweenDomains bounds the exchange between failure domains to 2 kB/s for each router.

--- a/crlworkload/exchange.go
+++ b/crlworkload/exchange.go
@@ -39,6 +39,7 @@
 	t.exchangedAt = now
 	if isNew {
 		t.sent = sentState{load: t.sent.load}
+		t.sourceTakes, t.supplied = false, supplied{}
 	}
 	if !t.isExchanging() || !isNew && now.Sub(t.sent.at) < sendInterval {
 		return nil
@@ -50,15 +51,33 @@
 	if sum.isEmpty() && !t.sent.load && now >= t.awakeUntil {
 		return nil
 	}
+	path := t.requestPath(isNew)
+	if t.sourceTakes {
+		return t.requestChanges(sum, path, now)
+	}
 	preamble, content := encodeLoad(sum, 0)
 	t.sent.at = now
 	if bytes.Equal(content, t.sent.content) {
 		h := t.nextHeader(messageSame)
-		h.same, h.known = t.sent.sequence, digestOf(t.sourceKeys)
+		h.same, h.known, h.path = t.sent.sequence, digestOf(t.sourceKeys), path
 		return encodeMessage(h, nil)
 	}
 	h := t.nextHeader(messageLoad)
-	h.known = digestOf(t.sourceKeys)
+	h.known, h.path = digestOf(t.sourceKeys), path
+	t.sent = sentState{at: now, content: content, sequence: h.sequence, load: !sum.isEmpty()}
+	return encodeMessage(h, append(preamble, content...))
+}
+
+// requestChanges returns what changed in the sum since the latest message to a source that has it, and the whole sum otherwise.
+func (t *Table) requestChanges(sum *load, path []uint64, now crlclock.Instant) json.RawMessage {
+	base := uint64(0)
+	if t.confirmed && t.sent.content != nil {
+		base = t.supplied.sequence
+	}
+	t.confirmed = false
+	h := t.nextHeader(messageChanges)
+	h.path = path
+	preamble, content := t.supplied.encode(sum, h.sequence, base, sum.daemons)
 	t.sent = sentState{at: now, content: content, sequence: h.sequence, load: !sum.isEmpty()}
 	return encodeMessage(h, append(preamble, content...))
 }
@@ -114,6 +133,13 @@
 	if h.kind == messageSame && old != nil && old.incarnation == h.incarnation && old.full == h.same {
 		r.load, r.full = old.load, old.full
 	}
+	if old != nil && old.incarnation == h.incarnation {
+		r.supplied = old.supplied
+	}
+	if h.base != 0 && !r.complete(h, old) {
+		t.drops.Outdated++
+		return t.wake
+	}
 	switch {
 	case r.load == nil:
 		return t.wake // Makes the follower send its sum.
@@ -130,6 +156,14 @@
 	return func() json.RawMessage { return t.replyTo(h) }
 }
 
+// complete adds the rest of a sum to a report of changes, and reports whether it is known: the sender's message that they refer to.
+func (r *report) complete(h header, old *report) bool {
+	if old == nil || old.load == nil || old.incarnation != h.incarnation || old.full != h.base {
+		return false
+	}
+	return r.load.apply(old.load.servers)
+}
+
 // replyTo returns the reply to a follower.
 func (t *Table) replyTo(follower header) json.RawMessage {
 	now := t.config.Now()
@@ -142,9 +176,17 @@
 	t.addOwn(sum, now)
 	t.limit(sum)
 	sum.bound()
-	preamble, content := encodeLoad(sum, follower.known)
-	h := t.nextHeader(messageLoad)
+	held, takesChanges := follower.changesHeld()
+	report := t.followers[follower.daemon]
+	if !takesChanges || report == nil {
+		preamble, content := encodeLoad(sum, follower.known)
+		h := t.nextHeader(messageLoad)
+		h.path = append(t.sourcePath(now), h.path...)
+		return encodeMessage(h, append(preamble, content...))
+	}
+	h := t.nextHeader(messageChanges)
 	h.path = append(t.sourcePath(now), h.path...)
+	preamble, content := report.supplied.encode(sum, h.sequence, held, report.load.daemons)
 	return encodeMessage(h, append(preamble, content...))
 }
 
@@ -170,12 +212,12 @@
 		t.countDrop(err)
 		return
 	}
-	if h.kind != messageLoad {
+	if h.kind != messageLoad && h.kind != messageChanges {
 		t.awakeUntil, t.sent.content = now.Add(wakeTime), nil
 		return
 	}
 	t.sourceKeys = l.keys
-	r := &report{load: l, receivedAt: now, incarnation: h.incarnation, sequence: h.sequence, path: h.path}
+	r := &report{load: l, receivedAt: now, incarnation: h.incarnation, sequence: h.sequence, full: h.sequence, path: h.path}
 	if slices.Contains(h.path, t.ownRank()) {
 		t.drops.Looped++
 		return
@@ -184,9 +226,14 @@
 	if h.daemon != t.sourceKey {
 		old = nil
 	}
+	if h.base != 0 && !r.complete(h, old) {
+		t.drops.Outdated++
+		return
+	}
 	if !t.accepts(h, r, old) {
 		return
 	}
+	t.sourceTakes, t.confirmed = h.kind == messageChanges, true
 	t.source, t.sourceKey, t.total = r, h.daemon, nil
 	if !l.isEmpty() {
 		t.awakeUntil = now.Add(wakeTime)
--- a/crlworkload/load.go
+++ b/crlworkload/load.go
@@ -51,6 +51,7 @@
 	ages     float64     // sum of the daemons' ages by the same weight, in seconds
 	depth    int         // number of calls over which the oldest part came
 	keys     []serverKey // of the servers in the message that held the sum
+	known    keysDigest  // for changes without keys, the digest of those; 0 otherwise
 	servers  serverLoads
 	services map[serviceKey]*vector
 }
@@ -163,6 +164,7 @@
 	sequence    uint64   // of the newest message
 	full        uint64   // sequence of the message that held the load
 	path        []uint64 // header.path
+	supplied    supplied // for a follower that takes changes, what it holds of this daemon's replies
 }
 
 // isDropped reports whether the report no longer counts.
--- a/crlworkload/message.go
+++ b/crlworkload/message.go
@@ -20,9 +20,10 @@
 type messageKind byte
 
 const (
-	messageLoad messageKind = iota // a sum
-	messageSame                    // the sum is that of an earlier message
-	messageWake                    // there is load; the receiver should send its sum
+	messageLoad    messageKind = iota // a sum
+	messageSame                       // the sum is that of an earlier message
+	messageWake                       // there is load; the receiver should send its sum
+	messageChanges                    // what changed in a sum since an earlier message, or a whole sum
 )
 
 // Bounds of a plausible message.
@@ -56,6 +57,7 @@
 	path     []uint64
 	sequence uint64     // rises with each message of an incarnation
 	same     uint64     // for messageSame, the sequence of the earlier message
+	base     uint64     // for messageChanges, the sequence of the earlier message, 0 if the sum is whole
 	known    keysDigest // of the servers in the latest reply that a follower has, 0 for none
 }
 
@@ -122,19 +124,7 @@
 // appendServers appends the servers with any load: their number plus 1 and their keys, or 0 and the digest of the keys if these are known;
 // then the codes of each.
 func appendServers(content []byte, servers serverLoads, known keysDigest) []byte {
-	type codedServer struct {
-		key   serverKey
-		codes [3]code
-	}
-	coded := make([]codedServer, 0, len(servers))
-	for _, s := range servers {
-		a := s.amount
-		codes := [3]code{encodeNumber(a.Requests, 1), encodeNumber(a.PromptSeconds, promptUnit), encodeNumber(a.Tokens, tokenUnit)}
-		if codes != [3]code{} {
-			coded = append(coded, codedServer{s.key, codes})
-		}
-	}
-	coded = coded[:min(len(coded), maxServers)]
+	coded := encodeServers(servers)
 	keys := make([]serverKey, 0, len(coded))
 	for _, s := range coded {
 		keys = append(keys, s.key)
@@ -143,17 +133,9 @@
 		content = binary.AppendUvarint(content, 0)
 		content = binary.BigEndian.AppendUint32(content, uint32(digest))
 	} else {
-		content = binary.AppendUvarint(content, uint64(len(keys)+1))
-		last := serverKey(0)
-		for _, key := range keys {
-			content = binary.AppendUvarint(content, uint64(key-last))
-			last = key
-		}
+		content = appendKeys(content, coded)
 	}
-	for _, s := range coded {
-		content = append(content, byte(s.codes[0]), byte(s.codes[1]), byte(s.codes[2]))
-	}
-	return content
+	return appendCodes(content, coded)
 }
 
 // appendServices appends the vectors of services, each with a bit for each bucket that it holds.
@@ -232,13 +214,16 @@
 	h.known = keysDigest(r.uvarint(math.MaxUint32))
 	switch h.kind {
 	case messageLoad:
-		l = r.load()
+		l, _ = r.load(false)
+	case messageChanges:
+		r.known = nil // Its lists of servers are always complete.
+		l, h.base = r.load(true)
 	case messageSame:
 		h.same = r.uvarint(math.MaxUint64)
 	case messageWake:
 	}
 	switch {
-	case r.failed || len(r.rest) > 0 || len(h.path) == 0 || h.kind > messageWake:
+	case r.failed || len(r.rest) > 0 || len(h.path) == 0 || h.kind > messageChanges:
 		return header{}, nil, errMalformed
 	case l != nil && !l.isPlausible():
 		return header{}, nil, errImplausible
@@ -246,14 +231,23 @@
 	return h, l, nil
 }
 
-// load reads the body of a message about a sum.
-func (r *reader) load() *load {
-	l := newLoad()
+// load reads the body of a message about a sum, or about changes since the message base.
+func (r *reader) load(changes bool) (l *load, base uint64) {
+	l = newLoad()
 	l.depth = int(r.uvarint(math.MaxInt32))
 	age := time.Duration(r.uvarint(math.MaxInt32)) * time.Millisecond
+	if changes {
+		base = r.uvarint(math.MaxUint64)
+	}
 	l.daemons = float64(r.uvarint(math.MaxInt32)) * daemonUnit
 	l.ages = l.daemons * age.Seconds()
-	l.keys = r.keys()
+	if changes && len(r.rest) > 0 && r.rest[0] == 0 {
+		r.rest = r.rest[1:]
+		r.failed = r.failed || base == 0
+		r.dense(l)
+	} else {
+		l.keys = r.keys()
+	}
 	for _, key := range l.keys {
 		codes := r.bytes(3)
 		l.servers = append(l.servers, serverLoad{key, Amount{
@@ -271,7 +265,7 @@
 		}
 		l.services[service] = v
 	}
-	return l
+	return l, base
 }
 
 // keys reads the list of servers.
--- a/crlworkload/table.go
+++ b/crlworkload/table.go
@@ -37,6 +37,10 @@
 	total       *load       // load of other daemons, as of totalAt; nil when it must be summed up again
 	totalAt     crlclock.Instant
 	sent        sentState
+	// sourceTakes reports whether the source takes changes, and supplied is what it holds. confirmed is set once it replied to the latest request.
+	sourceTakes bool
+	confirmed   bool
+	supplied    supplied
 	awakeUntil  crlclock.Instant // until then, other daemons are known to have load
 	exchangedAt crlclock.Instant // when this daemon last called a source
 	sequence    uint64
