End calls whose large reply stalls past the limit

Cause: a call whose reply had brought over 16 kB was exempt from the limit, so that one that stalled went on until the client's time-outs (0.9 s without a byte, 5 s in all). Change: past the limit such a call goes on only while it brings 1 kB in the time of an attempt, which doubles with each large reply in a row that stalled, so that a transfer over a slow link with gaps begins anew a few times at most. Tests: of TestReplyLimitEndsSmallRepliesOnly (renamed) the case "large" brought single bytes, which no longer counts as progress: it brings 1 kB parts now, and single bytes must end the call. "large, stalls" expected the client's time-out of 1.2 s; the call has to end after 350 ms now. The limit is no multiple of the parts' time, as the two raced. All of crlrouter was not run on this commit.

--- a/crlpeer/limit_test.go
+++ b/crlpeer/limit_test.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// TestReplyLimitEndsSmallRepliesOnly guards against a call that goes on past the limit because a small reply has begun and stalls, and against one that is
-// ended while it brings a large reply.
-func TestReplyLimitEndsSmallRepliesOnly(t *testing.T) {
-	const limit, partTime = 300 * time.Millisecond, 100 * time.Millisecond
-	large := strings.Repeat("x", largeReplyBytes)
+// TestReplyLimitEndsCallsWithoutProgress guards against a call that goes on past the limit because a reply has begun and stalls, be it small or large, and
+// against one that is ended while it brings a large reply. A large reply that stalled held its follower until the client's time-out before.
+func TestReplyLimitEndsCallsWithoutProgress(t *testing.T) {
+	const limit, stall, partTime = 310 * time.Millisecond, 150 * time.Millisecond, 100 * time.Millisecond
+	large, part := strings.Repeat("x", LargeReplyBytes), strings.Repeat("x", progressBytes)
 	for _, test := range []struct {
 		name   string
 		parts  []string // parts of the reply, one every partTime
@@ -24,8 +24,12 @@
 		{"nothing", nil, limit, false},
 		{"stalls", []string{`{"jsonrpc":"2.0","id":0,`}, limit, false},
 		{"drips", []string{`{"jsonrpc":"2.0",`, `"id":0,`, ` `, ` `, ` `, `"result":"small"}`}, limit, false},
-		{"large", []string{`{"jsonrpc":"2.0","id":0,"result":"`, large, ` `, ` `, ` `, `"}`}, 6 * partTime, true},
-		{"large, stalls", []string{`{"jsonrpc":"2.0","id":0,"result":"`, large}, 2*partTime + time.Second, false},
+		{"large", []string{`{"jsonrpc":"2.0","id":0,"result":"`, large, part, part, part, part + `"}`}, 6 * partTime, true},
+		{"large, a gap before the limit", []string{`{"jsonrpc":"2.0","id":0,"result":"` + large, ``, part, part + `"}`}, 4 * partTime, true},
+		{"large, stalls before the limit", []string{`{"jsonrpc":"2.0","id":0,"result":"` + large}, limit, false},
+		{"large, stalls at the limit", []string{`{"jsonrpc":"2.0","id":0,"result":"`, large}, 2*partTime + stall, false},
+		{"large, stalls after the limit", []string{`{"jsonrpc":"2.0","id":0,"result":"`, large, part, part, part}, 5*partTime + stall, false},
+		{"large, drips", []string{`{"jsonrpc":"2.0","id":0,"result":"`, large, ` `, ` `, ` `, ` `, ` `, ` `, `"}`}, 3*partTime + stall, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -43,7 +47,7 @@
 					ConnectTimeout: time.Second, CallTimeout: time.Second, TransferTimeout: 5 * time.Second,
 					Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil },
 				})
-				ctx, stop := WithReplyLimit(t.Context(), limit)
+				ctx, stop := WithReplyLimit(t.Context(), ReplyLimit{Total: limit, Stall: stall})
 				defer stop()
 				start := time.Now()
 				var result string
--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -84,6 +84,7 @@
 	lastFailure   crlclock.Instant
 	failedAt      map[string]crlclock.Instant // by address: the latest call without usable confirmations, since failures was 0
 	attempts      int                         // calls without usable confirmations since the latest with them
+	stalls        int                         // large replies in a row that stalled
 	redirects     int                         // latest replies in a row that named other sources
 	cause         string                      // why the latest call failed, or its confirmations were too old
 }
@@ -260,10 +261,12 @@
 	}, &response)
 	if err != nil {
 		f.cause = err.Error()
+		f.countStall(err)
 		f.logCall(response, sentAt, false)
 		return false
 	}
 	f.heard.Store(true)
+	f.stalls = 0
 	if isNew || response.Source == f.incarnation {
 		f.exchangedWith = response.Source
 	}
--- a/crlrelay/search.go
+++ b/crlrelay/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -107,25 +108,36 @@
 	return awaited
 }
 
-// callTimes returns for how long the source may hold the next call, and after which time the follower gives it up, 0 for never.
+// callTimes returns for how long the source may hold the next call, and the limit after which the follower gives it up, with a total of 0 for never.
 //
-// A source holds no call for longer than the follower's copy is fresh, and a call without a reply ends soon after. The first load has no limit, as there
-// is no copy to keep fresh.
-func (f *Follower) callTimes() (wait, limit time.Duration) {
+// A source holds no call for longer than the follower's copy is fresh, and a call without a reply ends soon after. A large reply may then stall for the
+// time of an attempt, and for twice as long after each large reply in a row that stalled: on a link that is merely slow the transfer begins anew a few times
+// at most. The first load has no limit, as there is no copy to keep fresh.
+func (f *Follower) callTimes() (wait time.Duration, limit crlpeer.ReplyLimit) {
 	until, loaded := f.copyFreshUntil()
 	search := f.searchTime()
 	if !loaded || search == 0 {
-		return FollowWait, 0
+		return FollowWait, crlpeer.ReplyLimit{}
 	}
 	left := max(until.Sub(f.config.Now()), 0)
 	wait = min(left, FollowWait)
 	attempt := search / attemptsPerSearch << min(f.attempts/attemptsPerStep, attemptsPerSearch)
-	return wait, wait + max(min(left-wait, replyMargin), attempt)
+	return wait, crlpeer.ReplyLimit{
+		Total: wait + max(min(left-wait, replyMargin), attempt), Stall: search / attemptsPerSearch << min(f.stalls, attemptsPerSearch),
+	}
+}
+
+// countStall counts a failed call if a large reply had begun.
+func (f *Follower) countStall(err error) {
+	var callError *crlpeer.Error
+	if errors.As(err, &callError) && callError.Received >= crlpeer.LargeReplyBytes {
+		f.stalls++
+	}
 }
 
-// withLimit returns a context for a call that ends after the limit, unless that is 0 or a large reply is arriving.
-func withLimit(ctx context.Context, limit time.Duration) (limited context.Context, stop func()) {
-	if limit == 0 {
+// withLimit returns a context for a call that ends after the limit, unless its total is 0.
+func withLimit(ctx context.Context, limit crlpeer.ReplyLimit) (limited context.Context, stop func()) {
+	if limit.Total == 0 {
 		return ctx, func() {}
 	}
 	return crlpeer.WithReplyLimit(ctx, limit)
