Let a share of the work leave a failure domain only when it pays

Cause: servers of other failure domains had a fixed cost in the score.

Change: from 24 routers on, for model engines and while load is exchanged, crlfleet/locality.go computes a share from the waits inside and outside in the exchanged load, the work of the domain's clients and the servers that accept requests, with hysteresis. Each request is bound to one side while a server there accepts it, and each domain has its own holder of a shared prompt. This rule is simpler than crllocality.Policy, which stays unconnected; only its Cause is used. Config.SecondsPerMegabyte prices bytes, 0 unless set. The estimate of sends since the reports fills the servers inside and outside separately. All else keeps the fixed cost.

Evidence: tests through Fleet.Pick in locality_test.go.

--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -36,6 +36,7 @@
 	Exclude           map[crlid.Server]bool // servers that the request was already sent to
 	Engine            bool                  // the service is a model engine, whose load daemons exchange
 	Tokens            crlid.Tokens          // tokens of the prompt and the longest answer, 0 if not stated
+	Bytes             int64                 // of the request and the expected answer, 0 if not known
 	MemoryTokens      crlid.Tokens          // tokens that a server of the service has memory for, 0 if not stated
 }
 
@@ -81,6 +82,7 @@
 	// Recorded first, so that the request's own size is known when its interval is computed.
 	f.serviceLoad(need.Service).partition.Record(need.Work, need.Work+need.WorkAfter, now)
 	f.refreshRemote(need, now)
+	f.chooseSide(&need)
 	for _, preferred := range []bool{true, false} {
 		for _, available := range []bool{true, false} {
 			if s := f.best(need, preferred, available, now); s != nil {
@@ -96,6 +98,7 @@
 					pickedAt: now, segment: segment,
 				}
 				f.beginLoad(p, need, now)
+				f.recordLeaving(s, &need)
 				return p, nil
 			}
 		}
@@ -152,7 +155,7 @@
 	candidates = f.withRoom(candidates, need)
 	f.updatePlaces(need.Service, now)
 	c := f.newScoreContext(&need, now)
-	c.holder = need.Affinity.holder(preferredBy(&c.interval, candidates))
+	c.holder = need.Affinity.holder(preferredBy(&c.interval, f.onSide(candidates, &need)))
 	for len(candidates) > 0 {
 		best, lowest := 0, math.Inf(1)
 		for i, s := range candidates {
@@ -261,6 +264,7 @@
 	p.markAnswered()
 	p.endPrompt()
 	p.work = 0
+	p.observeLink(firstByte-p.ExpectedFirstByte, now)
 	p.server.health.recordWait(max(firstByte-p.ExpectedFirstByte, 0), now)
 }
 
--- a/crlfleet/score.go
+++ b/crlfleet/score.go
@@ -47,9 +47,7 @@
 	if s.coldUntil > c.now {
 		score += c.need.Work
 	}
-	if s.entry.Domain != c.fleet.config.Domain {
-		score += c.otherDomain
-	}
+	score += c.domainCost(s)
 	score += c.fleet.config.Random() * scoreJitter
 	score += c.interval.Penalty(s.place)
 	if s == c.holder {
