Draw whether work leaves with the fleet's own random numbers

Evidence: TestWorkLeavesWithoutStatedRandomNumbers panics before. Measured: the named tests of crlfleet pass; the whole package was not run on this commit yet.

--- a/crlfleet/locality.go
+++ b/crlfleet/locality.go
@@ -217,7 +217,7 @@
 	}
 	// What a draw leaves over counts for the next requests, so that the part that leaves differs less from the share.
 	y.credit += min(y.status.Share*weight/(1+y.weight), 1)
-	if f.config.Random() < y.credit {
+	if f.random() < y.credit {
 		y.credit--
 		y.leaves = true
 	}
--- a/crlfleet/locality_test.go
+++ b/crlfleet/locality_test.go
@@ -492,3 +492,26 @@
 		t.Errorf("locality is %+v, want cause short and positive figures", last)
 	}
 }
+
+// TestWorkLeavesWithoutStatedRandomNumbers guards against a selection that panics once work leaves the failure domain, when Config.Random isn't set, as in a router.
+func TestWorkLeavesWithoutStatedRandomNumbers(t *testing.T) {
+	l := newPickLoad(t, true, false)
+	for n := range 10 {
+		e := testEntry(1000 + n)
+		e.Domain = "far"
+		l.fleet.Announce(e, l.now)
+	}
+	y := &l.fleet.serviceLoad(l.need.Service).locality
+	y.status.Active, y.status.Share = true, 0.5
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	left := 0
+	for range 100 {
+		if l.fleet.chooseSide(&l.need); y.leaves {
+			left++
+		}
+	}
+	if left < 45 || left > 55 {
+		t.Errorf("%d of 100 requests leave, want 50 as the share says, at most 5 more or fewer", left)
+	}
+}
