--- a/crlfleet/candidate.go
+++ b/crlfleet/candidate.go
@@ -112,8 +112,7 @@
 	hashes []uint64 // in the order of the service's list
 }
 
-// holder returns the candidate that is assumed to have the prompt's part cached, of those in the request's interval if there are any. Where a side was
-// chosen for the request, it is one of that side if there are any: each domain has its own holder, since requests would otherwise leave for one elsewhere. It is
+// holder returns the candidate that is assumed to have the prompt's part cached, of those in the request's interval if there are any. It is
 // chosen by rendezvous hashing, so that all daemons agree without exchanging messages: the highest hash of key and server wins.
 func (f *Fleet) holder(c *scoreContext, candidates []candidate) *server {
 	if c.need.Affinity.Key == "" {
@@ -121,11 +120,9 @@
 	}
 	hashes := f.holderHashes(c.load, c.need)
 	var holder *candidate
-	hasSide := c.hasCandidateOnSide(candidates)
 	for i := range candidates {
 		n := &candidates[i]
 		switch {
-		case hasSide && !c.isOnSide(n.server):
 		case holder == nil, holder.isOutside && !n.isOutside, n.isOutside == holder.isOutside && hashes[n.index] > hashes[holder.index]:
 			holder = n
 		}
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -26,20 +26,15 @@
 
 // Config configures a Fleet.
 type Config struct {
-	Domain    crlid.Domain // failure domain of this daemon
-	Slots     Slots        // this daemon's part of the limits of cold servers
-	Daemons   func() int   // returns the number of daemons that send requests to the servers
-	ColdRatio float64      // a cold server gets at most ColdRatio * Need.ColdRate + ColdSlack requests in any second
-	ColdSlack float64      // requests that a cold server may get beyond the ratio in any second, from all daemons together
-	Loads     Loads        // exchanges the load of model engines with other daemons; nil for none
-	// SecondsPerMegabyte is what 1,000,000 bytes between failure domains are worth, in seconds of a request's wait. It counts where Locality.Active is set.
-	SecondsPerMegabyte float64
-	// FixedDomainCost lets servers of other domains be scored with a fixed cost in large fleets too.
-	FixedDomainCost bool
-	OnLocality      func(Locality) // called when more or less of a service's work leaves the domain, with the fleet locked; nil for none
-	Random          func() float64 // returns random numbers in [0, 1), called with the fleet locked; nil for math/rand/v2
-	Now             crlclock.Clock
-	OnTransition    func(Transition) // called on each change of a server's state, with the fleet locked; nil for none
+	Domain       crlid.Domain   // failure domain of this daemon
+	Slots        Slots          // this daemon's part of the limits of cold servers
+	Daemons      func() int     // returns the number of daemons that send requests to the servers
+	ColdRatio    float64        // a cold server gets at most ColdRatio * Need.ColdRate + ColdSlack requests in any second
+	ColdSlack    float64        // requests that a cold server may get beyond the ratio in any second, from all daemons together
+	Loads        Loads          // exchanges the load of model engines with other daemons; nil for none
+	Random       func() float64 // returns random numbers in [0, 1), called with the fleet locked; nil for math/rand/v2
+	Now          crlclock.Clock
+	OnTransition func(Transition) // called on each change of a server's state, with the fleet locked; nil for none
 }
 
 // Slots tells which slots this daemon may use, of those into which the limits that daemons share are divided.
@@ -139,7 +134,6 @@
 	versions      []crlid.Version  // of these servers
 	holders       [holderKeyCount]holderHashes
 	remote        remoteState
-	locality      locality
 }
 
 // serviceLoad returns the load of a service, and adds an empty one first if there is none.
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -35,7 +35,6 @@
 	Exclude           map[crlid.Server]bool // servers that the request was already sent to
 	Engine            bool                  // the service is a model engine, whose load daemons exchange
 	Tokens            crlid.Tokens          // tokens of the prompt and the longest answer, 0 if not stated
-	Bytes             int64                 // of the request and the expected answer, 0 if not known
 	MemoryTokens      crlid.Tokens          // tokens that a server of the service has memory for, 0 if not stated
 }
 
@@ -89,7 +88,6 @@
 	// Recorded first, so that the request's own size is known when its interval is computed.
 	l.partition.Record(need.Work, need.Work+need.WorkAfter, now)
 	f.refreshRemote(l, need, now)
-	f.chooseSide(need)
 	f.updatePlaces(need.Service, now)
 	c := f.newScoreContext(l, need, now)
 	s := f.firstChoice(&c)
@@ -107,7 +105,6 @@
 		pickedAt: now, segment: segment,
 	}
 	f.beginLoad(p, need, now)
-	f.recordLeaving(s, need)
 	return p, nil
 }
 
@@ -247,7 +244,6 @@
 	p.markAnswered()
 	p.endPrompt()
 	p.work = 0
-	p.observeLink(firstByte-p.ExpectedFirstByte, now)
 	p.server.health.recordWait(max(firstByte-p.ExpectedFirstByte, 0), now)
 }
 
--- a/crlfleet/remote.go
+++ b/crlfleet/remote.go
@@ -47,11 +47,9 @@
 
 // remoteLoad is the load that other daemons are expected to have at a server.
 type remoteLoad struct {
-	work     float64 // in seconds of an unloaded server, as pendingWork
-	tokens   float64 // that the server needs memory for
-	reported float64 // work as reported, without an estimate of what was done and sent since
-	link     float64 // delay of the link to the server's domain, in seconds, 0 if not known
-	bias     float64 // added to the score, in seconds: the less room the server has, the more
+	work   float64 // in seconds of an unloaded server, as pendingWork
+	tokens float64 // that the server needs memory for
+	bias   float64 // added to the score, in seconds: the less room the server has, the more
 }
 
 // remoteState holds what is known about the load of other daemons at the servers of a service.
@@ -60,9 +58,6 @@
 	refreshedAt crlclock.Instant
 	work        arrivals // of this daemon
 	tokens      arrivals
-	squares     arrivals // of the work
-	age         time.Duration
-	known       float64   // daemons that reported
 	workAfter   average   // Need.WorkAfter of this daemon's sends
 	totals      []float64 // reused by refresh
 	demand      [crlpartition.BucketCount]float64
@@ -99,7 +94,6 @@
 	case others > 0:
 		r.active, r.refreshedAt = true, now
 		f.predictRemote(r, f.services[need.Service], float64(others), now)
-		f.refreshLocality(need.Service, float64(others), now)
 	case r.active:
 		r.active, r.hasDemand = false, false
 		for _, s := range f.services[need.Service] {
@@ -130,6 +124,7 @@
 	missing := others - known
 	arriving := r.work.perSecond(now) * known // seconds of work that the known daemons send in a second
 	tokenRate := r.tokens.perSecond(now)
+	r.totals = r.totals[:0]
 	age := time.Duration(0)
 	for _, s := range servers {
 		var reported crlworkload.Amount
@@ -139,22 +134,7 @@
 		s.remote.work = unread + reported.Requests*r.workAfter.mean(0) + missing*ownWork
 		// Requests that ended since are not deducted: an engine without memory for its requests fails, which costs more than a detour.
 		s.remote.tokens = reported.Tokens + missing*ownTokens + age.Seconds()*tokenRate*known/count
-		s.remote.reported = s.remote.work - unread + reported.PromptSeconds
-	}
-	r.age, r.known = age, known
-	if inside, ok := f.serviceLoad(servers[0].entry.Service).insideShare(); ok {
-		f.fill(r, servers, arriving*age.Seconds()*inside, func(s *server) bool { return s.entry.Domain == f.config.Domain })
-		f.fill(r, servers, arriving*age.Seconds()*(1-inside), func(s *server) bool { return s.entry.Domain != f.config.Domain })
-		return
-	}
-	f.fill(r, servers, arriving*age.Seconds(), func(*server) bool { return true })
-}
-
-// fill adds a volume of work to the lowest of some servers.
-func (f *Fleet) fill(r *remoteState, servers []*server, volume float64, among func(*server) bool) {
-	r.totals = r.totals[:0]
-	for _, s := range servers {
-		if f.inService(s) && among(s) {
+		if f.inService(s) {
 			r.totals = append(r.totals, s.remote.work)
 		}
 	}
@@ -162,11 +142,8 @@
 		return
 	}
 	slices.Sort(r.totals)
-	lowest, level := r.totals[0], fillLevel(r.totals, volume)
+	lowest, level := r.totals[0], fillLevel(r.totals, arriving*age.Seconds())
 	for _, s := range servers {
-		if !among(s) {
-			continue
-		}
 		s.remote.bias = maxBias
 		if level > lowest && s.remote.work < level {
 			s.remote.bias = -raceScale * math.Log(max((level-s.remote.work)/(level-lowest), minRoomShare))
@@ -215,7 +192,6 @@
 	p.exchanged, p.tokens = true, float64(max(need.Tokens, 0))
 	p.server.tokens += p.tokens
 	p.load.remote.work.add(need.Work, now)
-	p.load.remote.squares.add(need.Work*need.Work, now)
 	p.load.remote.tokens.add(p.tokens, now)
 	p.load.remote.workAfter.add(need.WorkAfter)
 	f.config.Loads.RecordWork(need.Service, crlpartition.Bucket(need.Work), need.Work+need.WorkAfter)
--- a/crlfleet/same_test.go
+++ b/crlfleet/same_test.go
@@ -57,7 +57,6 @@
 		config := Config{
 			Domain: "d0", Slots: someSlots{1, max(w.daemons/8, 1)}, Daemons: func() int { return w.daemons }, ColdRatio: 1.5, ColdSlack: 5,
 			Random: rand.New(rand.NewPCG(seed, 1)).Float64, Now: func() crlclock.Instant { return w.now },
-			FixedDomainCost: true, // as in the former code
 		}
 		if exchanged {
 			config.Loads = loads
--- a/crlfleet/score.go
+++ b/crlfleet/score.go
@@ -73,7 +73,10 @@
 	if s.coldUntil > c.now {
 		score += c.need.Work
 	}
-	return score + c.domainCost(s) + jitter
+	if s.entry.Domain != c.fleet.config.Domain {
+		score += c.otherDomain
+	}
+	return score + jitter
 }
 
 // slowness returns the factor by which the server is slower than usual for its service, at least 1.
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -193,18 +193,6 @@
 	return refusal
 }
 
-// bytesPerToken is the assumed size of a token in an answer. An event holds some tokens of four letters each and its framing.
-const bytesPerToken = 8
-
-// transferBytes returns the bytes of a request's body and the expected answer.
-func (s *Service) transferBytes(x *exchange) int64 {
-	output := x.head.MaxAnswerTokens
-	if x.head.ExpectedAnswerTokens > 0 {
-		output = min(output, x.head.ExpectedAnswerTokens)
-	}
-	return int64(len(x.body)) + int64(output)*bytesPerToken
-}
-
 // pick chooses the server of the next send among the versions that a roll-out of the service allows. While the
 // roll-out pins sessions, a session runs on the target version only if its last request ran there.
 func (s *Service) pick(x *exchange, plan *modelPlan) (*crlfleet.Pick, error) {
@@ -226,7 +214,6 @@
 		Service: x.service.Name, ColdRate: x.service.ColdRate, Exclude: x.tried, FewServers: few,
 		Work: cost.workSeconds, WorkAfter: cost.decodeSeconds, ExpectedFirstByte: cost.firstByte, Affinity: s.affinity(x, plan.model(), plan),
 		Engine: x.service.Slots > 0, Tokens: x.head.PromptTokens + x.head.MaxAnswerTokens, MemoryTokens: x.service.MemoryTokens,
-		Bytes: s.transferBytes(x),
 		Allows: func(v crlid.Version) bool {
 			return x.rolloutPlan.Allows(v) && (!pinned || v == x.lastVersion || v != x.rolloutPlan.Target)
 		},
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -114,7 +114,6 @@
 	r.fleet = crlfleet.New(crlfleet.Config{
 		Domain: s.Domain, Slots: r.members.slots, Daemons: r.follower.Count, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
 		Loads: r.workload, Now: config.Clock, OnTransition: logTransition(config.Logger),
-		SecondsPerMegabyte: s.SecondsPerMegabyte, OnLocality: logLocality(config.Logger),
 	})
 	r.orders = &orderProcessor{
 		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, logger: config.Logger, tableOffset: crlid.NoOffset,
@@ -150,7 +149,6 @@
 		MaxHeldBytes:    max(int64(float64(s.MemoryBytes)*memoryLimitFraction/4), minHeldBytes),
 	})
 	r.registry.MustRegister(append(r.gauges(), r.exchangeCounters()...)...)
-	r.registry.MustRegister(localityMetrics{fleet: r.fleet})
 	return r
 }
 
--- a/crlrouter/settings.go
+++ b/crlrouter/settings.go
@@ -21,9 +21,7 @@
 	MemoryBytes     int64    // memory that the process may use, 0 if not stated
 	StorePartitions int      // number of partitions of each topic of the store, 0 for defaultStorePartitions
 	Strength        int      // the smaller number of the link's Mbit/s and the CPU's millicores; the strongest routers read the store
-	// SecondsPerMegabyte is what 1,000,000 bytes between failure domains are worth, in seconds of a request's wait; 0 for nothing.
-	SecondsPerMegabyte float64
-	Bounds             Bounds
+	Bounds          Bounds
 }
 
 // Bounds holds the limits that the deployment requires the router to keep.
