Use own names in the configuration of the traffic test

Cause: the text of the test's configuration had a name of the platform's wire, which only the adapter may use; TestWireNamesAppearOnlyInAdapter failed. Change: names of the project's own. Evidence: go test ./platform failed before, passes now. Measured: go test ./crlrouter -run TestTrafficBetween passes.

--- a/crlrouter/traffic_test.go
+++ b/crlrouter/traffic_test.go
@@ -258,8 +258,8 @@
 	value, id := make([]byte, 0, routes*700), make([]byte, 100)
 	for n := range routes {
 		_, _ = random.Read(id)
-		value = fmt.Appendf(value, `{"host":"service-%d.example","prefix":"/v1/%s","service":"drafts","kind":"stream","sloMs":2000,"gapTargetMs":1500,"timeoutMs":20000,`+
-			`"priority":1,"attempts":2,"sizes":["small","medium","large"],"sticky":true,"resumable":true,"keys":["%s"],"limits":{"requestsPerS":100,"burst":200}},`,
+		value = fmt.Appendf(value, `{"host":"service-%d.example","prefix":"/v1/%s","service":"drafts","kind":"stream","objective-ms":2000,"max-pause-ms":1500,"timeout-ms":20000,`+
+			`"priority":1,"attempts":2,"sizes":["small","medium","large"],"sticky":true,"resumable":true,"keys":["%s"],"limit":{"rate":100,"burst":200}},`,
 			n, hex.EncodeToString(id[:10]), hex.EncodeToString(id))
 	}
 	return crlplatform.KeyedRecord{Key: "configuration", Offset: 1, Value: value}
