State the configuration and its age in lines of denied requests

Operators could not tell a router that denies a request by an outdated configuration from one that holds a wrong confirmation: the line of a denial stated neither the version nor the age of its confirmation, that of a served request not the age, and nothing named the build.

A line now states the version whenever one was read, and the age for denials and where it is above the bound on configurations. New metrics: cranberrylock_router_configuration_version and _build_info; the start line names the build.

TestLinesStateTheConfigurationAndItsAge fails before in 3 of 4 cases.

--- a/cmd/cranberrylock-router/main.go
+++ b/cmd/cranberrylock-router/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cranberrylock/cranberrylock/crlcommand"
@@ -78,6 +79,21 @@
 	}()
 	config := platform.RouterConfig(settings, logger)
 	config.Reload, config.Hangup, config.Transport = load, hangup, crlforward.NewTransport(crlforward.TransportConfig{})
+	config.Build = build()
 	router := crlrouter.New(config)
 	return router.Run(stop)
 }
+
+// build returns the revision of the repository that the program was built from, empty if it wasn't recorded.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
--- a/crlforward/explain_test.go
+++ b/crlforward/explain_test.go
@@ -23,6 +23,7 @@
 		Status int    `json:"status"`
 		Cause  string `json:"cause"`
 	} `json:"sends"`
+	Configuration    *int64   `json:"configuration"`
 	Cause            string   `json:"cause"`
 	Draining         *bool    `json:"draining"`
 	ConfigurationAge *float64 `json:"configuration-age-ms"`
@@ -103,3 +104,29 @@
 		t.Errorf("line %+v is not that of the request that was cut off", l)
 	}
 }
+
+// TestLinesStateTheConfigurationAndItsAge guards against lines of requests that don't tell whether a router that used an older configuration knew that it
+// might be outdated.
+func TestLinesStateTheConfigurationAndItsAge(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		path   string
+		age    time.Duration // of the latest confirmation
+		stated bool          // whether the line states the age
+	}{
+		{"denied", "/none/1", time.Second, true},
+		{"not denied, as unconfirmed", "/none/1", 3 * time.Second, true},
+		{"served, unconfirmed", "/read/1", 3 * time.Second, true},
+		{"served", "/read/1", time.Second, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(answers("page"))
+			c.confirmedAt = c.now().Add(-tc.age)
+			c.call(t.Context(), tc.path, nil)
+			l := c.findLine(t, "r1")
+			if l.Configuration == nil || (l.ConfirmationAge >= float64(tc.age.Milliseconds())) != tc.stated {
+				t.Errorf("line %+v, want the version of the configuration, and its age stated: %t", l, tc.stated)
+			}
+		})
+	}
+}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -249,7 +249,11 @@
 	if state.Table == nil {
 		return s.notReady(x, ReasonNoConfiguration, notReadyRetryAfter)
 	}
-	x.table, x.tableAge = state.Table, s.config.Now().Sub(state.AppliedAt)
+	now := s.config.Now()
+	x.table, x.tableAge = state.Table, now.Sub(state.AppliedAt)
+	if age := now.Sub(state.ConfirmedAt); s.config.MaxDenialAge > 0 && age > s.config.MaxDenialAge {
+		x.trace.confirmationAge = age
+	}
 	x.path, _, _ = strings.Cut(x.request.RequestURI, "?")
 	x.route = x.table.Match(x.request.Host, x.path)
 	if x.route == nil {
@@ -261,10 +265,10 @@
 // deny returns the denial of a request, or asks the caller to retry if the configuration that it follows from may have been replaced.
 func (s *Service) deny(x *exchange, denial *Refusal) *Refusal {
 	age := s.config.Now().Sub(s.config.State().ConfirmedAt)
+	x.trace.confirmationAge = age
 	if s.config.MaxDenialAge == 0 || age <= s.config.MaxDenialAge {
 		return denial
 	}
-	x.trace.confirmationAge = age
 	return s.notReady(x, ReasonUnconfirmed, unconfirmedRetryAfter)
 }
 
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -34,8 +34,8 @@
 	cause           string
 	status          int
 	confidence      int
-	confirmationAge time.Duration
-	part            string // the quarantined part of the request's prompt
+	confirmationAge time.Duration // of the configuration, for denials and where it is above Config.MaxDenialAge
+	part            string        // the quarantined part of the request's prompt
 	sends           []sendTrace
 }
 
@@ -56,7 +56,10 @@
 		slog.Int("status", status), slog.Duration("lasted-ms", duration),
 	}
 	if x.route != nil {
-		attributes = append(attributes, slog.String("route", string(x.route.Name)), slog.Int64("configuration", x.table.Version()))
+		attributes = append(attributes, slog.String("route", string(x.route.Name)))
+	}
+	if x.table != nil {
+		attributes = append(attributes, slog.Int64("configuration", x.table.Version()))
 	}
 	if len(x.trace.sends) > 0 {
 		attributes = append(attributes, slog.Any("sends", x.trace.sends))
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -57,6 +57,7 @@
 	// ends a process that does not handle it.
 	Hangup <-chan os.Signal
 	Reload func() (*Settings, error) // reads the settings again
+	Build  string                    // names the build of the program in logs and metrics, empty if unknown
 }
 
 // Listen opens a listener on an address, as [net.Listen] does.
@@ -248,6 +249,16 @@
 		gauge("proof_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
 			return r.config.Clock().Sub(r.state().ConfirmedAt).Seconds()
 		}),
+		gauge("configuration_version", "Version of the configuration in force, 0 without one.", func() float64 {
+			if table := r.state().Table; table != nil {
+				return float64(table.Version())
+			}
+			return 0
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "cranberrylock_router_build_info", Help: "Always 1; the label names the build of the program.",
+			ConstLabels: prometheus.Labels{"build": r.config.Build},
+		}, func() float64 { return 1 }),
 		gauge("shared_limits_part", "The daemon's part of limits that all daemons share.", r.members.share),
 		gauge("open_requests", "Requests that are held.", func() float64 { return float64(r.service.OpenRequests()) }),
 		gauge("quarantined_parts", "Parts of prompts and requests that are kept from backend servers.", func() float64 {
@@ -279,7 +290,7 @@
 	debug.SetGCPercent(gcPercent)
 	r.applySettings(s)
 	r.config.Logger.Event(EventStart, slog.String("daemon", string(s.Daemon)), slog.String("failure-domain", string(s.Domain)),
-		slog.String("incarnation", string(r.incarnation)))
+		slog.String("incarnation", string(r.incarnation)), slog.String("build", r.config.Build))
 	taskCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	draining, startDrain := context.WithCancelCause(ctx)
