Judge denials and keys by the confirmation of the table in use

Callers could get 404 or 401, or be served with a revoked key, by a configuration that had been replaced. A request reads the routing table once, but the age by which its denial or its key is judged was read later. If a newer configuration is applied and confirmed in between, an outdated table is taken for a confirmed one. The window is short, but a VM with a fifth of a core that applies a large configuration can stay in it for tens of milliseconds.

The request now keeps the confirmation that it read with the table.

--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -136,7 +136,8 @@
 	head          Head
 	body          []byte
 	table         *crlroute.Table
-	tableAge      time.Duration // time from the application of table to the request's arrival
+	tableAge      time.Duration    // time from the application of table to the request's arrival
+	confirmedAt   crlclock.Instant // when table was last confirmed to be the newest
 	route         *crlroute.Route
 	service       *crlroute.Service
 	caller        crlroute.Organisation   // the zero value if the request needs no API key
@@ -250,7 +251,7 @@
 		return s.notReady(x, ReasonNoConfiguration, notReadyRetryAfter)
 	}
 	now := s.config.Now()
-	x.table, x.tableAge = state.Table, now.Sub(state.AppliedAt)
+	x.table, x.tableAge, x.confirmedAt = state.Table, now.Sub(state.AppliedAt), state.ConfirmedAt
 	if age := now.Sub(state.ConfirmedAt); s.config.MaxDenialAge > 0 && age > s.config.MaxDenialAge {
 		x.trace.confirmationAge = age
 	}
@@ -264,7 +265,7 @@
 
 // deny returns the denial of a request, or asks the caller to retry if the configuration that it follows from may have been replaced.
 func (s *Service) deny(x *exchange, denial *Refusal) *Refusal {
-	age := s.config.Now().Sub(s.config.State().ConfirmedAt)
+	age := s.config.Now().Sub(x.confirmedAt)
 	x.trace.confirmationAge = age
 	if s.config.MaxDenialAge == 0 || age <= s.config.MaxDenialAge {
 		return denial
@@ -291,7 +292,7 @@
 	if x.route.Public || !x.table.RequiresKeys() {
 		return nil
 	}
-	if age := s.config.Now().Sub(s.config.State().ConfirmedAt); age > s.config.MaxConfirmationAge {
+	if age := s.config.Now().Sub(x.confirmedAt); age > s.config.MaxConfirmationAge {
 		x.trace.confirmationAge = age
 		return s.notReady(x, ReasonUnconfirmed, unconfirmedRetryAfter)
 	}
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -859,3 +859,31 @@
 		})
 	}
 }
+
+// TestDenialIsJudgedWithTheConfigurationThatItFollowsFrom guards against a request that is denied by an outdated configuration (CONFIG), or served with a
+// revoked key, because a newer configuration was applied and confirmed while the request was being handled.
+func TestDenialIsJudgedWithTheConfigurationThatItFollowsFrom(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, key string
+		age             time.Duration // of the first configuration's latest confirmation
+	}{
+		{"unknown path", "/none/1", "key", 3 * time.Second},
+		{"unknown key", "/read/1", "other", 3 * time.Second},
+		{"key that may have been revoked", "/read/1", "key", 5 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(answers("page"))
+			outdated, reads := c.service.config.State, 0
+			c.service.config.State = func() State {
+				state := outdated()
+				if reads++; reads == 1 {
+					state.ConfirmedAt = c.now().Add(-tc.age)
+				}
+				return state
+			}
+			if got, _ := c.call(t.Context(), tc.path, map[string]string{"X-Key": tc.key}); got.Code != http.StatusServiceUnavailable {
+				t.Errorf("got %d by a configuration that was confirmed %s ago, want 503", got.Code, tc.age)
+			}
+		})
+	}
+}
