Count brittle servers, places and rejections

The line of a server that becomes brittle states what it bears and how many of its places are this router's; three metrics count brittle servers, places and rejections.

--- a/crlfleet/brittle.go
+++ b/crlfleet/brittle.go
@@ -1,6 +1,7 @@
 package crlfleet
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -42,7 +43,9 @@
 	switch {
 	case stated.Brittle && s.brittle == nil:
 		s.brittle = &brittleness{statedAt: now}
-		f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateBrittle, Cause: "stated in an answer"})
+		f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateBrittle, Cause: fmt.Sprintf(
+			"stated in an answer: bears %v rejections a second; %d of its %d places are this daemon's", stated.MaxRejections, f.ownPlaces(s, now), s.entry.Slots,
+		)})
 	case !stated.Brittle && s.brittle != nil && p.pickedAt >= s.brittle.statedAt:
 		s.brittle = nil
 		f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateInService, Cause: "its answers no longer state that it is brittle"})
@@ -125,3 +128,24 @@
 	}
 	return true
 }
+
+// BrittleState is a count of brittle servers and of what they turned away.
+type BrittleState struct {
+	Servers    int // servers that count as brittle
+	Places     int // requests that this daemon may have open at them
+	Rejections int // requests of this daemon that brittle servers have turned away since its start
+}
+
+// BrittleState returns the present counts.
+func (f *Fleet) BrittleState() BrittleState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := BrittleState{Rejections: f.brittleRejections}
+	for _, s := range f.servers {
+		if s.brittle != nil {
+			state.Servers++
+			state.Places += s.brittle.places
+		}
+	}
+	return state
+}
--- a/crlfleet/brittle_test.go
+++ b/crlfleet/brittle_test.go
@@ -135,3 +135,15 @@
 		t.Errorf("%d open requests %s after the latest statement, want no limit", len(picks), brittleExpiry)
 	}
 }
+
+// TestBrittleStateCounts guards against metrics that don't tell whether a router goes on sending brittle servers what they turn away.
+func TestBrittleStateCounts(t *testing.T) {
+	clock := &fakeClock{now: crlclock.Instant(time.Hour)}
+	f := newBrittleFleet(t, clock, allSlots{}, 1, 6)
+	p := mustPick(t, f, testNeed())
+	p.RecordStatement(brittle)
+	p.Done(Result{Outcome: OutcomeFull})
+	if got, want := f.BrittleState(), (BrittleState{Servers: 1, Places: 6, Rejections: 1}); got != want {
+		t.Errorf("counts %+v, want %+v", got, want)
+	}
+}
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -116,6 +116,8 @@
 	entryAge  entryAge
 	leaving   map[crlid.Server]time.Time // start times of the servers that stated in an answer that they leave
 
+	brittleRejections int // see BrittleState
+
 	candidates []candidate      // reused by selections
 	verdicts   []versionVerdict // reused by selections
 	hashed     []byte           // reused by holderHashes
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -290,6 +290,7 @@
 		}
 	case OutcomeFull:
 		if b := p.server.brittle; b != nil {
+			f.brittleRejections++
 			b.recordRejection(max(f.config.Daemons(), 1), now)
 		}
 	case OutcomeNeutral:
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -264,6 +264,13 @@
 		gauge("quarantined_parts", "Parts of prompts and requests that are kept from backend servers.", func() float64 {
 			return float64(r.quarantine.registry.Quarantined())
 		}),
+		gauge("brittle_servers", "Backend servers that count as brittle.", func() float64 { return float64(r.fleet.BrittleState().Servers) }),
+		gauge("brittle_places", "Requests that this router may have open at brittle servers.", func() float64 {
+			return float64(r.fleet.BrittleState().Places)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "cranberrylock_router_brittle_rejections_total", Help: "Requests that brittle servers have turned away.",
+		}, func() float64 { return float64(r.fleet.BrittleState().Rejections) }),
 		gauge("load_known_routers", "Other routers whose load of model engines is known.", func() float64 { return r.workload.Known(r.config.Clock()) }),
 		gauge("log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(r.config.Logger.Dropped()) }),
 	}
