--- a/crlrouter/crashing_request_test.go
+++ b/crlrouter/crashing_request_test.go
@@ -28,6 +28,7 @@
 	if err == nil && order.Table != nil {
 		routes := []crlroute.Route{
 			{Name: "lookup", Prefix: "/lookup/", Kind: crlroute.KindIdempotent, Attempts: 2, Timeout: time.Second},
+			{Name: "report", Prefix: "/report/", Kind: crlroute.KindIdempotent, Attempts: 2, Timeout: 10 * time.Second},
 			{Name: "filing", Prefix: "/filing/", Kind: crlroute.KindNonIdempotent, Attempts: 2, Timeout: time.Second},
 			{Name: "draft", Prefix: "/draft/", Kind: crlroute.KindStream, Resumable: true, Attempts: 3, Timeout: 10 * time.Second},
 		}
@@ -175,13 +176,16 @@
 }
 
 // call sends a request to a random router.
-func (c *repeater) call(path, body string) {
+func (c *repeater) call(path, body string) { c.callOne(len(c.routers), path, body) }
+
+// callOne sends a request to a random one of the first routers.
+func (c *repeater) callOne(first int, path, body string) {
 	c.sent++
 	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader(body))
 	r.RequestURI = path
 	r.Header.Set("X-Request", fmt.Sprint("r", c.sent))
 	r.Header.Set("X-Parts", fmt.Sprint("shared-", c.random.IntN(sharedParts), ",of-", body, ",own-", c.sent))
-	router, sentAt := c.routers[c.random.IntN(len(c.routers))], time.Now()
+	router, sentAt := c.routers[c.random.IntN(first)], time.Now()
 	c.open.Go(func() {
 		recorder := httptest.NewRecorder()
 		func() {
--- a/crlrouter/store_test.go
+++ b/crlrouter/store_test.go
@@ -22,6 +22,7 @@
 	reads       int
 	appends     int
 	down        bool
+	dealt       int           // number of times that all partitions were dealt anew
 	changed     chan struct{} // closed and replaced at each append, and when an outage begins or ends
 	views       []*storeView
 }
@@ -129,6 +130,14 @@
 	m.changed = make(chan struct{})
 }
 
+// dealAnew gives all partitions to other members.
+func (m *memoryStore) dealAnew() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dealt++
+	m.generation++
+}
+
 func (m *memoryStore) Newest(_ context.Context, topic, _ string) (crlplatform.KeyedPage, bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -203,7 +212,7 @@
 	}
 	membership := crlplatform.Membership{Generation: m.generation}
 	for n := range join.Topics * defaultStorePartitions {
-		if m.members[n%len(m.members)] == join.Member {
+		if m.members[(n+m.dealt)%len(m.members)] == join.Member {
 			membership.Partitions = append(membership.Partitions, crlplatform.Partition{
 				Topic: n / defaultStorePartitions, Number: n % defaultStorePartitions,
 			})
