Divide places at brittle servers by the roster

Brittle servers fell over (GONE) while the store was away, and after it had dealt all partitions anew. What remains of the places after equal parts belonged to slots, which nobody holds for 6.5 s after partitions change hands, and from 5 s after the store is lost. A router without any slot took one place at each server: 75 routers at servers with 6 places.

The rest now belongs to the first routers in an order of the roster that differs from server to server (rendezvous hashing). All routers know the roster without the store, and a change of members moves few places. A router that its roster doesn't list has no place.

--- a/crlfleet/brittle.go
+++ b/crlfleet/brittle.go
@@ -2,12 +2,8 @@
 
 import (
 	"fmt"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
@@ -21,13 +17,12 @@
 	brittleExpiry    = time.Minute      // time after the latest statement until the server no longer counts as brittle
 	// settleTime is the time after the first statement in which requests that were sent before it may still fill the server.
 	settleTime        = time.Second
-	placesRefreshTime = 500 * time.Millisecond // time between two looks at which slots this daemon holds
+	placesRefreshTime = 500 * time.Millisecond // time between two looks at which places belong to this daemon
 )
 
 // brittleness is what a brittle server stated, and this daemon's part of its places.
 //
-// A server turns no request away as long as it has no more than it works on at once. These places are divided among the daemons: each has the same
-// number, and the rest belongs to slots.
+// A server turns no request away as long as it has no more than it works on at once. These places are divided among the daemons.
 type brittleness struct {
 	maxRejections float64          // requests per second that the server bears to turn away, from all daemons together
 	statedAt      crlclock.Instant // when the server stated first that it is brittle
@@ -44,7 +39,7 @@
 	case stated.Brittle && s.brittle == nil:
 		s.brittle = &brittleness{statedAt: now}
 		f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateBrittle, Cause: fmt.Sprintf(
-			"stated in an answer: bears %v rejections a second; %d of its %d places are this daemon's", stated.MaxRejections, f.ownPlaces(s, now), s.entry.Slots,
+			"stated in an answer: bears %v rejections a second; %d of its %d places are this daemon's", stated.MaxRejections, f.ownPlaces(s), s.entry.Slots,
 		)})
 	case !stated.Brittle && s.brittle != nil && p.pickedAt >= s.brittle.statedAt:
 		s.brittle = nil
@@ -82,7 +77,7 @@
 func (f *Fleet) usablePlaces(s *server, now crlclock.Instant) int {
 	b := s.brittle
 	if b.placesAt == 0 || now.Sub(b.placesAt) >= placesRefreshTime {
-		b.places, b.placesAt = f.ownPlaces(s, now), now
+		b.places, b.placesAt = f.ownPlaces(s), now
 	}
 	if now < b.reducedUntil {
 		return b.places / 2
@@ -90,33 +85,20 @@
 	return b.places
 }
 
-// ownPlaces returns this daemon's part of the places at a server. It has one if the server doesn't announce how many there are.
-func (f *Fleet) ownPlaces(s *server, now crlclock.Instant) int {
-	daemons := max(f.config.Daemons(), 1)
-	if s.entry.Slots == 0 {
+// ownPlaces returns this daemon's part of the places at a server: each daemon has the same number, and the rest belongs to the first daemons in an order
+// that differs from server to server. It has one if the server doesn't announce how many there are, and none if it isn't known to be one of the daemons.
+func (f *Fleet) ownPlaces(s *server) int {
+	rank, daemons, ok := f.config.Rank(s.order)
+	switch {
+	case !ok:
+		return 0
+	case s.entry.Slots == 0:
 		return 1
+	case rank < s.entry.Slots%daemons:
+		return s.entry.Slots/daemons + 1
+	default:
+		return s.entry.Slots / daemons
 	}
-	places := s.entry.Slots / daemons
-	for i := range s.entry.Slots % daemons {
-		slot := crlbudget.Slot(xxhash.Sum64String("place "+string(s.entry.Server)+" "+strconv.Itoa(i)) % uint64(f.config.Slots.Count()))
-		if f.config.Slots.Holds(slot, now) {
-			places++
-		}
-	}
-	if places == 0 && !f.holdsSlots(now) {
-		return 1 // While the store is away nobody holds slots, and refusing everything is worse than a place too many.
-	}
-	return places
-}
-
-// holdsSlots reports whether this daemon holds any slot.
-func (f *Fleet) holdsSlots(now crlclock.Instant) bool {
-	for i := range f.config.Slots.Count() {
-		if f.config.Slots.Holds(crlbudget.Slot(i), now) {
-			return true
-		}
-	}
-	return false
 }
 
 // lacksPlaces reports whether all servers of a service are brittle and this daemon has no place at any of them.
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -26,9 +26,12 @@
 
 // Config configures a Fleet.
 type Config struct {
-	Domain       crlid.Domain   // failure domain of this daemon
-	Slots        Slots          // this daemon's part of the limits of cold servers
-	Daemons      func() int     // returns the number of daemons that send requests to the servers
+	Domain  crlid.Domain // failure domain of this daemon
+	Slots   Slots        // this daemon's part of the limits of cold servers
+	Daemons func() int   // returns the number of daemons that send requests to the servers
+	// Rank returns this daemon's position, from 0, in the order of all daemons for a key, and their number; ok is false if it isn't known to be one of
+	// them. It divides the places of brittle servers. nil stands for a daemon that is alone.
+	Rank         func(key uint64) (rank, daemons int, ok bool)
 	ColdRatio    float64        // a cold server gets at most ColdRatio * Need.ColdRate + ColdSlack requests in any second
 	ColdSlack    float64        // requests that a cold server may get beyond the ratio in any second, from all daemons together
 	Loads        Loads          // exchanges the load of model engines with other daemons; nil for none
@@ -153,6 +156,9 @@
 	if config.OnTransition == nil {
 		config.OnTransition = func(Transition) {}
 	}
+	if config.Rank == nil {
+		config.Rank = func(uint64) (rank, daemons int, ok bool) { return 0, 1, true }
+	}
 	return &Fleet{
 		config: config, generator: rand.NewPCG(rand.Uint64(), rand.Uint64()), servers: make(map[crlid.Server]*server), services: make(map[crlid.Service][]*server),
 		evacuated: make(map[crlid.Domain]bool), loads: make(map[crlid.Service]*serviceLoad),
--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -113,8 +113,7 @@
 	defer f.mu.Unlock()
 	if roster.Generation >= f.roster.Generation {
 		f.roster = roster
-		f.roster.knownDigest = 0 // The caller may have changed a roster that was held.
-		f.roster.knownDigest = f.roster.digest()
+		f.roster.prepare(f.config.Self.Address)
 		f.place = findPlace(f.roster, f.seeds, f.config.Self)
 	}
 }
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -106,6 +106,8 @@
 	Members    []Member `json:"members"`
 	// knownDigest is the digest of a roster that is held, 0 if it has to be computed: each call and each reply needs it.
 	knownDigest uint64
+	hashes      []uint64 // of the members' addresses, set by prepare
+	self        int      // index of this daemon among the members, -1 if it isn't one; set by prepare
 }
 
 // Has reports whether the roster lists the member's address.
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -113,7 +113,7 @@
 		slots: crlbudget.NewSlotLeases(groupTopics * s.partitions()), partitions: s.partitions(),
 	}
 	r.fleet = crlfleet.New(crlfleet.Config{
-		Domain: s.Domain, Slots: r.members.slots, Daemons: r.follower.Count, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
+		Domain: s.Domain, Slots: r.members.slots, Daemons: r.follower.Count, Rank: r.follower.Rank, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
 		Loads: r.workload, Now: config.Clock, OnTransition: logTransition(config.Logger),
 	})
 	r.orders = &orderProcessor{
