Treat new servers of a brittle service as brittle

Brittle servers fell over (GONE) when servers were replaced, and again after each fall. Brittleness was known for each server, from its own answers, so one that was new or had come back counted as sound at each router that had no answer from it yet, and 75 routers sent it what they liked. A fall gives no answer, so none of them learned from it.

Brittleness now belongs to the service. A server that has answered nothing since the first statement counts as brittle; one that has answered without the statement doesn't. It ends for the service with an answer without the statement to a request that was sent 2 s after the latest statement, or a minute without one.

TestNewServersOfABrittleServiceAreBrittle fails before (no limit).

--- a/crlfleet/brittle.go
+++ b/crlfleet/brittle.go
@@ -14,68 +14,98 @@
 	minMaxRejections = 0.25             // assumed of a server that states less, so that it is tried again within a bounded time
 	minReducedTime   = time.Second      // shortest time with fewer requests after a rejection
 	maxReducedTime   = 10 * time.Second // longest such time
-	brittleExpiry    = time.Minute      // time after the latest statement until the server no longer counts as brittle
+	brittleExpiry    = time.Minute      // time after the latest statement until the servers of a service no longer count as brittle
+	// soundAfter is the time after the latest statement from which an answer without it shows that the service's servers aren't brittle any more. Where
+	// only some servers are brittle, their statements come more often.
+	soundAfter = 2 * time.Second
 	// settleTime is the time after the first statement in which requests that were sent before it may still fill the server.
 	settleTime        = time.Second
 	placesRefreshTime = 500 * time.Millisecond // time between two looks at which places belong to this daemon
 )
 
-// brittleness is what a brittle server stated, and this daemon's part of its places.
+// serviceBrittleness is what the servers of a service stated about brittleness. A server that has answered nothing since the first statement counts as
+// brittle too: it may be new, or back after a fall.
+type serviceBrittleness struct {
+	beganAt       crlclock.Instant // first statement of the present time of brittleness
+	statedAt      crlclock.Instant // latest statement, 0 for none
+	soundAt       crlclock.Instant // sending of the latest request whose answer didn't state it
+	maxRejections float64          // as stated last
+}
+
+// isActive reports whether servers of the service are brittle.
+func (b *serviceBrittleness) isActive(now crlclock.Instant) bool {
+	return b.statedAt > 0 && now.Sub(b.statedAt) <= brittleExpiry && b.soundAt <= b.statedAt.Add(soundAfter)
+}
+
+// brittleness is what one server stated about brittleness, and this daemon's part of its places.
 //
 // A server turns no request away as long as it has no more than it works on at once. These places are divided among the daemons.
 type brittleness struct {
-	maxRejections float64          // requests per second that the server bears to turn away, from all daemons together
-	statedAt      crlclock.Instant // when the server stated first that it is brittle
-	latestAt      crlclock.Instant
+	statedAt      crlclock.Instant // sending of the latest request whose answer stated it, 0 for none
+	soundAt       crlclock.Instant // sending of the latest request whose answer didn't, 0 for none
+	maxRejections float64          // requests per second that the server bears to turn away, from all daemons together; 0 if it has stated nothing
 	reducedUntil  crlclock.Instant // until then, half of the places are used, as the server has turned a request away
 	places        int              // this daemon's places at the server, as of placesAt
 	placesAt      crlclock.Instant
 }
 
+// isBrittle reports whether a server of the service counts as brittle.
+func (b *brittleness) isBrittle(service *serviceBrittleness, now crlclock.Instant) bool {
+	return service.isActive(now) && (b.soundAt < service.beganAt || b.soundAt <= b.statedAt)
+}
+
 // applyBrittleness records what an answer stated. An answer to a request from before the first statement does not end it.
 func (f *Fleet) applyBrittleness(p *Pick, stated Statement, now crlclock.Instant) {
-	s := p.server
-	switch {
-	case stated.Brittle && s.brittle == nil:
-		s.brittle = &brittleness{statedAt: now}
+	s, service := p.server, &f.serviceLoad(p.server.entry.Service).brittle
+	before := s.brittle.isBrittle(service, now)
+	if stated.Brittle {
+		if !service.isActive(now) {
+			service.beganAt = now
+		}
+		most := max(stated.MaxRejections, minMaxRejections)
+		service.statedAt, service.maxRejections = now, most
+		s.brittle.statedAt, s.brittle.maxRejections = max(s.brittle.statedAt, p.pickedAt), most
+	} else {
+		service.soundAt = max(service.soundAt, p.pickedAt)
+		s.brittle.soundAt = max(s.brittle.soundAt, p.pickedAt)
+	}
+	switch after := s.brittle.isBrittle(service, now); {
+	case after && !before:
 		f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateBrittle, Cause: fmt.Sprintf(
 			"stated in an answer: bears %v rejections a second; %d of its %d places are this daemon's", stated.MaxRejections, f.ownPlaces(s), s.entry.Slots,
 		)})
-	case !stated.Brittle && s.brittle != nil && p.pickedAt >= s.brittle.statedAt:
-		s.brittle = nil
+	case before && !after:
 		f.config.OnTransition(Transition{Server: s.entry.Server, Entry: s.entry, State: StateInService, Cause: "its answers no longer state that it is brittle"})
 	}
-	if stated.Brittle {
-		s.brittle.latestAt, s.brittle.maxRejections = now, max(stated.MaxRejections, minMaxRejections)
-	}
 }
 
 // recordRejection reduces the requests to a brittle server that has turned one away. The time is such that all daemons together, if the server turns
 // one request of each away in that time, stay within rejectionShare.
-func (b *brittleness) recordRejection(daemons int, now crlclock.Instant) {
-	if now < b.statedAt.Add(settleTime) {
+func (f *Fleet) recordRejection(s *server, now crlclock.Instant) {
+	service := &f.serviceLoad(s.entry.Service).brittle
+	if !s.brittle.isBrittle(service, now) {
+		return
+	}
+	f.brittleRejections++
+	if now < service.beganAt.Add(settleTime) {
 		return
 	}
-	reduced := time.Duration(float64(daemons) / (rejectionShare * b.maxRejections) * float64(time.Second))
-	b.reducedUntil = now.Add(min(max(reduced, minReducedTime), maxReducedTime))
+	most := s.brittle.maxRejections
+	if most == 0 {
+		most = service.maxRejections
+	}
+	reduced := time.Duration(float64(max(f.config.Daemons(), 1)) / (rejectionShare * most) * float64(time.Second))
+	s.brittle.reducedUntil = now.Add(min(max(reduced, minReducedTime), maxReducedTime))
 }
 
 // hasPlace reports whether this daemon may send one more request to a server without it being turned away. It reports true for one that isn't brittle.
 func (f *Fleet) hasPlace(s *server, now crlclock.Instant) bool {
-	b := s.brittle
-	if b == nil {
-		return true
-	}
-	if now.Sub(b.latestAt) > brittleExpiry {
-		s.brittle = nil
-		return true
-	}
-	return s.openRequests < f.usablePlaces(s, now)
+	return !s.brittle.isBrittle(&f.serviceLoad(s.entry.Service).brittle, now) || s.openRequests < f.usablePlaces(s, now)
 }
 
 // usablePlaces returns the number of requests that this daemon may have open at a brittle server.
 func (f *Fleet) usablePlaces(s *server, now crlclock.Instant) int {
-	b := s.brittle
+	b := &s.brittle
 	if b.placesAt == 0 || now.Sub(b.placesAt) >= placesRefreshTime {
 		b.places, b.placesAt = f.ownPlaces(s), now
 	}
@@ -102,9 +132,9 @@
 }
 
 // lacksPlaces reports whether all servers of a service are brittle and this daemon has no place at any of them.
-func (f *Fleet) lacksPlaces(service crlid.Service) bool {
+func (f *Fleet) lacksPlaces(service crlid.Service, now crlclock.Instant) bool {
 	for _, s := range f.services[service] {
-		if f.inService(s) && (s.brittle == nil || s.brittle.places > 0) {
+		if f.inService(s) && (!s.brittle.isBrittle(&f.serviceLoad(service).brittle, now) || s.brittle.places > 0) {
 			return false
 		}
 	}
@@ -120,13 +150,14 @@
 
 // BrittleState returns the present counts.
 func (f *Fleet) BrittleState() BrittleState {
+	now := f.config.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	state := BrittleState{Rejections: f.brittleRejections}
 	for _, s := range f.servers {
-		if s.brittle != nil {
+		if s.brittle.isBrittle(&f.serviceLoad(s.entry.Service).brittle, now) {
 			state.Servers++
-			state.Places += s.brittle.places
+			state.Places += f.usablePlaces(s, now)
 		}
 	}
 	return state
--- a/crlfleet/brittle_test.go
+++ b/crlfleet/brittle_test.go
@@ -144,3 +144,39 @@
 		t.Errorf("counts %+v, want %+v", got, want)
 	}
 }
+
+// TestNewServersOfABrittleServiceAreBrittle guards against brittle servers that fall over (GONE) because a server that is new, or back after a fall,
+// counts as sound until it has answered.
+func TestNewServersOfABrittleServiceAreBrittle(t *testing.T) {
+	const daemons, places = 3, 6
+	clock := &fakeClock{now: crlclock.Instant(time.Hour)}
+	f := newBrittleFleet(t, clock, 0, daemons, places)
+	open := func() int {
+		picks, _ := fill(f)
+		for _, p := range picks {
+			p.Done(Result{Outcome: OutcomeNeutral})
+		}
+		return len(picks)
+	}
+	replace := func(old, n int) {
+		f.Remove(testEntry(old).Server)
+		entry := testEntry(n)
+		entry.Slots = places
+		f.Announce(entry, clock.now)
+	}
+	replace(1, 2)
+	clock.advance(newVersionDelay)
+	if got := open(); got != places/daemons {
+		t.Errorf("%d open requests at a new server, want %d", got, places/daemons)
+	}
+	p := mustPick(t, f, testNeed())
+	p.RecordStatement(Statement{})
+	p.Done(Result{Outcome: OutcomeAnswered})
+	if got := open(); got != 100 {
+		t.Errorf("%d open requests at a server that has answered without the statement, want no limit", got)
+	}
+	replace(2, 3)
+	if got := open(); got != 100 {
+		t.Errorf("%d open requests at a new server after answers without the statement, want no limit", got)
+	}
+}
--- a/crlfleet/candidate.go
+++ b/crlfleet/candidate.go
@@ -20,8 +20,9 @@
 func (f *Fleet) candidatesOf(c *scoreContext, preferred, available bool) []candidate {
 	need, now := c.need, c.now
 	candidates := f.candidates[:0]
+	isBrittle := c.load.brittle.isActive(now)
 	for i, s := range f.services[need.Service] {
-		if !f.inService(s) || s.pausedUntil > now || s.brittle != nil && !f.hasPlace(s, now) ||
+		if !f.inService(s) || s.pausedUntil > now || isBrittle && !f.hasPlace(s, now) ||
 			len(need.Exclude) > 0 && need.Exclude[s.entry.Server] || !c.allows(s, preferred) ||
 			available && max(s.health.backoffUntil, s.newVersionUntil) > now {
 			continue
--- a/crlfleet/fleet.go
+++ b/crlfleet/fleet.go
@@ -93,7 +93,6 @@
 	newVersionUntil crlclock.Instant // other servers are preferred until then; see newVersionDelay
 	pausedUntil     crlclock.Instant
 	answeredAt      crlclock.Instant // when the latest request that it answered was sent, 0 for none
-	brittle         *brittleness     // nil for a server that isn't
 	limit           *statedLimit     // nil without one
 	pendingWork     float64          // work of this daemon's open requests, in seconds of an unloaded server
 	tokens          float64          // tokens of this daemon's open requests, if their load is exchanged
@@ -102,6 +101,7 @@
 	segment         int                // that the place belongs to
 	version         int                // index in serviceLoad.versions
 	health          health
+	brittle         brittleness
 	entry           Entry
 	coldBuckets     []crlbudget.Bucket // limit the rate of requests while the server is cold; each belongs to a slot
 	openRequests    int
@@ -139,6 +139,7 @@
 	versions      []crlid.Version  // of these servers
 	holders       [holderKeyCount]holderHashes
 	remote        remoteState
+	brittle       serviceBrittleness
 }
 
 // serviceLoad returns the load of a service, and adds an empty one first if there is none.
@@ -213,7 +214,7 @@
 	}
 	s.isEvacuated = f.evacuated[e.Domain]
 	if !before.StartedAt.Equal(e.StartedAt) || before.Address != e.Address {
-		s.health, s.limit, s.statedLeaving, s.pausedUntil = health{}, nil, false, 0
+		s.health, s.limit, s.statedLeaving, s.pausedUntil, s.brittle = health{}, nil, false, 0, brittleness{}
 		f.config.OnTransition(Transition{Server: e.Server, Entry: e, State: StateRestarted, Cause: "announced another start time or address"})
 	}
 	if e.Leaving && !before.Leaving {
--- a/crlfleet/former_test.go
+++ b/crlfleet/former_test.go
@@ -53,7 +53,7 @@
 	for _, s := range f.services[need.Service] {
 		switch {
 		case !f.accepts(s) || !need.Allows(s.entry.Version) || need.Exclude[s.entry.Server]:
-		case s.pausedUntil <= now && f.lacksPlaces(need.Service):
+		case s.pausedUntil <= now && f.lacksPlaces(need.Service, now):
 			return ErrNoPlace
 		case s.pausedUntil <= now:
 			return ErrRateLimit
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -126,7 +126,7 @@
 	for _, s := range f.services[need.Service] {
 		switch {
 		case !f.inService(s) || !need.Allows(s.entry.Version) || need.Exclude[s.entry.Server]:
-		case s.pausedUntil <= now && f.lacksPlaces(need.Service):
+		case s.pausedUntil <= now && f.lacksPlaces(need.Service, now):
 			return ErrNoPlace
 		case s.pausedUntil <= now:
 			return ErrRateLimit
@@ -289,10 +289,7 @@
 			f.suspend(p.server, now, "failures")
 		}
 	case OutcomeFull:
-		if b := p.server.brittle; b != nil {
-			f.brittleRejections++
-			b.recordRejection(max(f.config.Daemons(), 1), now)
-		}
+		f.recordRejection(p.server, now)
 	case OutcomeNeutral:
 	}
 	if r.FirstByte > 0 && p.ExpectedFirstByte > 0 {
