Let routers tell each other which services are brittle

Brittle servers fell over (GONE) when routers restarted: a router that has had no answer from the servers since it started sends them what it likes, while 74 others keep to their places. The same holds for a router whose callers come later, and for all routers as long as answers take longer than the time until servers let fewer wait.

Routers now exchange in the calls of the relay tree which services are brittle, what their servers bear, and the ages of the latest statement and of the latest answer without it. Ages grow with each way and words are passed on eight times at most, so that they die out.

--- a/crlfleet/brittle.go
+++ b/crlfleet/brittle.go
@@ -26,15 +26,15 @@
 // serviceBrittleness is what the servers of a service stated about brittleness. A server that has answered nothing since the first statement counts as
 // brittle too: it may be new, or back after a fall.
 type serviceBrittleness struct {
-	beganAt       crlclock.Instant // first statement of the present time of brittleness
-	statedAt      crlclock.Instant // latest statement, 0 for none
-	soundAt       crlclock.Instant // sending of the latest request whose answer didn't state it
+	beganAt       crlclock.Instant // first statement of the present time of brittleness, or when this daemon learned of it
+	stated        word             // latest statement
+	sound         word             // sending of the latest request whose answer didn't state it
 	maxRejections float64          // as stated last
 }
 
 // isActive reports whether servers of the service are brittle.
 func (b *serviceBrittleness) isActive(now crlclock.Instant) bool {
-	return b.statedAt > 0 && now.Sub(b.statedAt) <= brittleExpiry && b.soundAt <= b.statedAt.Add(soundAfter)
+	return b.stated.at > 0 && now.Sub(b.stated.at) <= brittleExpiry && b.sound.at <= b.stated.at.Add(soundAfter)
 }
 
 // brittleness is what one server stated about brittleness, and this daemon's part of its places.
@@ -63,10 +63,11 @@
 			service.beganAt = now
 		}
 		most := max(stated.MaxRejections, minMaxRejections)
-		service.statedAt, service.maxRejections = now, most
+		service.stated.hear(now)
+		service.maxRejections = most
 		s.brittle.statedAt, s.brittle.maxRejections = max(s.brittle.statedAt, p.pickedAt), most
 	} else {
-		service.soundAt = max(service.soundAt, p.pickedAt)
+		service.sound.hear(p.pickedAt)
 		s.brittle.soundAt = max(s.brittle.soundAt, p.pickedAt)
 	}
 	switch after := s.brittle.isBrittle(service, now); {
--- a/crlrouter/exchanges.go
+++ b/crlrouter/exchanges.go
@@ -23,6 +23,7 @@
 	exchangeRollouts exchangeName = "rollouts"
 	exchangeLoad     exchangeName = "load"
 	exchangePace     exchangeName = "pace"
+	exchangeBrittle  exchangeName = "brittle"
 )
 
 // namedExchange is one of the exchanges that share the calls between routers.
@@ -67,6 +68,11 @@
 	return &exchanges{parts: parts, logger: logger}
 }
 
+// add adds an exchange. It must not be called once messages are exchanged.
+func (e *exchanges) add(name exchangeName, exchange crlrelay.Exchange) {
+	e.parts = append(e.parts, namedExchange{name, exchange})
+}
+
 // Request returns the messages of all exchanges for the next call.
 func (e *exchanges) Request(isNew bool) json.RawMessage {
 	message := make(map[exchangeName]json.RawMessage, len(e.parts))
@@ -179,6 +185,7 @@
 	return []prometheus.Collector{
 		counter("all", "undecodable", func() float64 { return float64(ignored.undecodable.Load()) }),
 		counter("all", "unknown-name", func() float64 { return float64(ignored.unknown.Load()) }),
+		counter(exchangeBrittle, "malformed", func() float64 { return float64(r.brittleness.Ignored()) }),
 		drops("malformed", func(d crlworkload.Drops) int { return d.Malformed }),
 		drops("other-version", func(d crlworkload.Drops) int { return d.OtherVersion }),
 		drops("implausible", func(d crlworkload.Drops) int { return d.Implausible }),
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -65,21 +65,22 @@
 
 // Router is one daemon of a fleet of routers.
 type Router struct {
-	config     Config
-	orders     *orderProcessor
-	servers    *serverEntries
-	reporter   *statusReporter
-	members    *membership
-	follower   *crlrelay.Follower
-	workload   *crlworkload.Table
-	exchanges  *exchanges
-	pace       *crlpace.Estimator
-	quarantine *quarantineLedger
-	replicas   map[crlrelay.Topic]*crlrelay.Replica
-	fleet      *crlfleet.Fleet
-	service    *crlforward.Service
-	registry   *prometheus.Registry
-	stop       chan struct{} // closed when Run ends its goroutines
+	config      Config
+	orders      *orderProcessor
+	servers     *serverEntries
+	reporter    *statusReporter
+	members     *membership
+	follower    *crlrelay.Follower
+	workload    *crlworkload.Table
+	exchanges   *exchanges
+	brittleness *crlfleet.BrittlenessExchange
+	pace        *crlpace.Estimator
+	quarantine  *quarantineLedger
+	replicas    map[crlrelay.Topic]*crlrelay.Replica
+	fleet       *crlfleet.Fleet
+	service     *crlforward.Service
+	registry    *prometheus.Registry
+	stop        chan struct{} // closed when Run ends its goroutines
 
 	incarnation   crlid.Incarnation
 	failingTopics atomic.Int32 // number of topics whose last read from the store failed
@@ -116,6 +117,8 @@
 		Domain: s.Domain, Slots: r.members.slots, Daemons: r.follower.Count, Rank: r.follower.Rank, ColdRatio: s.Bounds.ColdRatio, ColdSlack: s.Bounds.ColdSlack,
 		Loads: r.workload, Now: config.Clock, OnTransition: logTransition(config.Logger),
 	})
+	r.brittleness = crlfleet.NewBrittlenessExchange(r.fleet)
+	r.exchanges.add(exchangeBrittle, r.brittleness)
 	r.orders = &orderProcessor{
 		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, logger: config.Logger, tableOffset: crlid.NoOffset,
 	}
