Hand requests over when own places at brittle servers are taken

Callers were refused (503 overloaded) while servers had free places: with callers at an eighth of 75 routers, a tenth of what the servers could answer was answered. Places are divided among all routers, and one whose places were taken refused; only a router without any place handed requests over, to random routers, of which most had none either.

A router without a free place now hands a request over to one of those that have places at a random brittle server of the service, three at most, and refuses at once if none has a free one. A refusal for want of a place says that nothing ran, so it doesn't end the search and the refusing router isn't left out for 2 s.

--- a/crlfleet/brittle.go
+++ b/crlfleet/brittle.go
@@ -132,14 +132,23 @@
 	}
 }
 
-// lacksPlaces reports whether all servers of a service are brittle and this daemon has no place at any of them.
-func (f *Fleet) lacksPlaces(service crlid.Service, now crlclock.Instant) bool {
+// BrittleServer returns the key of Config.Rank and the number of places of a random brittle server of a service, ok false if there is none with places.
+// Each of the daemons with a rank below that number has a place there.
+func (f *Fleet) BrittleServer(service crlid.Service) (key uint64, places int, ok bool) {
+	now := f.config.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := 0.0
 	for _, s := range f.services[service] {
-		if f.inService(s) && (!s.brittle.isBrittle(&f.serviceLoad(service).brittle, now) || s.brittle.places > 0) {
-			return false
+		if !f.inService(s) || s.entry.Slots == 0 || !s.brittle.isBrittle(&f.serviceLoad(service).brittle, now) {
+			continue
+		}
+		seen++
+		if f.random()*seen < 1 {
+			key, places, ok = s.order, s.entry.Slots, true
 		}
 	}
-	return true
+	return key, places, ok
 }
 
 // BrittleState is a count of brittle servers and of what they turned away.
--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -18,7 +18,7 @@
 var (
 	ErrNoServer  = errors.New("no backend server of the service accepts requests")
 	ErrRateLimit = errors.New("every available backend server of the service is at its rate limit or has no room")
-	ErrNoPlace   = errors.New("every backend server of the service is brittle, and all their places belong to other daemons")
+	ErrNoPlace   = errors.New("every available backend server of the service is brittle, and this daemon has no free place at any")
 )
 
 // Need specifies what a request requires of a server.
@@ -71,8 +71,8 @@
 
 // Pick returns the allowed server with the lowest score. Servers of a preferred version come first, and among them those that
 // are neither in a backoff time nor delayed because their version is new to the service. It fails with ErrRateLimit if all servers
-// that could be picked are cold or state a limit, and are at their rate limit, or are brittle and have no room, with ErrNoPlace if this daemon has no
-// place at any, with a *PausedError if all have asked for a pause, and with ErrNoServer if there are none.
+// that could be picked are cold or state a limit, and are at their rate limit, with ErrNoPlace if this daemon has no free place at a brittle one, with a
+// *PausedError if all have asked for a pause, and with ErrNoServer if there are none.
 //
 // It is short enough to be inlined, so that a caller that keeps the Pick to itself allocates nothing.
 func (f *Fleet) Pick(need Need) (*Pick, error) {
@@ -123,17 +123,21 @@
 // pickError returns why no server could be picked.
 func (f *Fleet) pickError(need *Need, now crlclock.Instant) error {
 	var firstEnd crlclock.Instant // of the pauses; 0 without one
+	limited := false
 	for _, s := range f.services[need.Service] {
 		switch {
 		case !f.inService(s) || !need.Allows(s.entry.Version) || need.Exclude[s.entry.Server]:
-		case s.pausedUntil <= now && f.lacksPlaces(need.Service, now):
-			return ErrNoPlace
+		case s.pausedUntil <= now && !f.hasPlace(s, now):
+			return ErrNoPlace // Another daemon may have one.
 		case s.pausedUntil <= now:
-			return ErrRateLimit
+			limited = true
 		case firstEnd == 0 || s.pausedUntil < firstEnd:
 			firstEnd = s.pausedUntil
 		}
 	}
+	if limited {
+		return ErrRateLimit
+	}
 	if firstEnd != 0 {
 		return &PausedError{Left: firstEnd.Sub(now)}
 	}
--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -77,7 +77,7 @@
 	refusal := s.checkNextSend(x)
 	cutOff := s.reachability.isCutOff(ctx)
 	if cutOff && refusal == nil {
-		if peer, ok := s.choosePeer(x); ok {
+		if peer, ok := s.choosePeer(x, s.config.Peers); ok {
 			return s.handOver(ctx, x, peer)
 		}
 	}
@@ -95,7 +95,11 @@
 	unreached := x.sends > x.runsBefore && !x.reached
 	if unreached || refusal.Reason == ReasonNoPlace {
 		// No server can have the request, but a router with other links, or with places at the servers, may serve it.
-		if peer, ok := s.choosePeer(x); ok {
+		peers := s.config.Peers
+		if !unreached {
+			peers = s.placePeers(x)
+		}
+		if peer, ok := s.choosePeer(x, peers); ok {
 			return s.handOver(ctx, x, peer)
 		}
 		if x.handedOver && unreached {
--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -29,6 +29,9 @@
 	maxHandovers = 3                      // routers to which a request is handed over, one after the other
 	peerPause    = 2 * time.Second        // time without handovers to a router that could not be reached or could not take a request
 	servicePause = 500 * time.Millisecond // time without handovers after a router that isn't cut off has reached no server of the service either
+	// placesPause is the time without handovers after none of the routers that were tried had a free place at the brittle servers of the service. It is
+	// short, as places become free all the time.
+	placesPause = 100 * time.Millisecond
 )
 
 // handovers remembers which routers requests can't be handed over to now, and for which services that is of no use.
@@ -56,11 +59,11 @@
 	h.peers[address] = now.Add(peerPause)
 }
 
-// pauseService ends handovers of a service's requests for servicePause.
-func (h *handovers) pauseService(service crlid.Service) {
+// pauseService ends handovers of a service's requests for a time.
+func (h *handovers) pauseService(service crlid.Service, length time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.services[service] = h.now().Add(servicePause)
+	h.services[service] = max(h.services[service], h.now().Add(length))
 }
 
 // isPaused reports whether handovers of a service's requests are of no use now.
@@ -108,14 +111,22 @@
 	})
 }
 
-// choosePeer returns the router to which the request is to be handed over next, false if it isn't to be: a request that was handed over, one
+// choosePeer returns the one of peers to which the request is to be handed over next, false if it isn't to be: a request that was handed over, one
 // that must not run twice and may have run, one that may have run as often as its route allows, and one for which other routers are of no use.
-func (s *Service) choosePeer(x *exchange) (Peer, bool) {
-	if s.config.Peers == nil || x.handedOver || len(x.peers) >= maxHandovers || x.runs > 0 && !x.route.Repeatable() ||
+func (s *Service) choosePeer(x *exchange, peers func() []Peer) (Peer, bool) {
+	if peers == nil || x.handedOver || len(x.peers) >= maxHandovers || x.runs > 0 && !x.route.Repeatable() ||
 		x.runs >= x.route.Attempts || s.handovers.isPaused(x.service.Name) {
 		return Peer{}, false
 	}
-	return s.handovers.choose(s.config.Peers(), x.peers, s.config.Domain)
+	return s.handovers.choose(peers(), x.peers, s.config.Domain)
+}
+
+// placePeers returns the function that lists the routers which may have a free place at a brittle server of the request's service.
+func (s *Service) placePeers(x *exchange) func() []Peer {
+	if s.config.PlacePeers == nil {
+		return s.config.Peers
+	}
+	return func() []Peer { return s.config.PlacePeers(x.service.Name) }
 }
 
 // handOver sends the request to another router, which forwards it as if its caller had sent it there, and relays the answer.
@@ -171,7 +182,12 @@
 	}
 	switch reason {
 	case ReasonUnreachable:
-		s.handovers.pauseService(x.service.Name)
+		s.handovers.pauseService(x.service.Name, servicePause)
+		return s.verdictAfter(x, mayHaveRun), nil
+	case ReasonNoPlace:
+		if len(x.peers) >= maxHandovers {
+			s.handovers.pauseService(x.service.Name, placesPause)
+		}
 		return s.verdictAfter(x, mayHaveRun), nil
 	case ReasonOverloaded, ReasonNoBudget, ReasonCrashes, ReasonNoServer, ReasonRouteTimeout, ReasonDeadline, ReasonAttempts, ReasonOutcomeUnknown:
 		refusal := x.finalRefusal(reason)
--- a/crlforward/refusal.go
+++ b/crlforward/refusal.go
@@ -26,7 +26,7 @@
 	ReasonDraining        = "draining"                 // Service.Close or Service.Abort was called
 	ReasonOverloaded      = "overloaded"               // too many open requests, or all servers left are at their rate limit or asked for a pause
 	ReasonNoServer        = "no-backend-server"        // the route has no service, or the service no server that may get the request
-	ReasonNoPlace         = "no-place"                 // all servers are brittle, and their places belong to other routers
+	ReasonNoPlace         = "no-place"                 // all servers are brittle, and neither this router nor the others that were tried have a free place
 	ReasonNoBudget        = "retry-budget-spent"       // the service's retry budget does not cover one more send
 	ReasonCutOff          = "cut-off"                  // to a router that hands a request over: this VM is cut off from the servers too
 	ReasonUnreachable     = "servers-unreachable"      // to a router that hands a request over: no connection to the servers tried, though this VM isn't cut off
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -32,18 +32,20 @@
 
 // Config configures a Service.
 type Config struct {
-	Dialect            Dialect
-	State              func() State // returns the newest known configuration; called for each request
-	Fleet              *crlfleet.Fleet
-	Rollouts           *crlrollout.Tracker
-	Admission          func() bool             // whether admission control applies; nil for always
-	Quarantine         *crlquarantine.Registry // what crashes servers; nil for one that only this Service feeds
-	Retries            *crlbudget.RetryBudget
-	Pace               *crlpace.Estimator // learns the costs of requests to model engines; nil for one that only this Service feeds
-	Transport          http.RoundTripper
-	Probe              Probe         // checks unresponsive servers; nil opens a TCP connection
-	Domain             crlid.Domain  // failure domain of this daemon
-	Peers              func() []Peer // returns the other routers that requests may be handed over to; nil for none
+	Dialect    Dialect
+	State      func() State // returns the newest known configuration; called for each request
+	Fleet      *crlfleet.Fleet
+	Rollouts   *crlrollout.Tracker
+	Admission  func() bool             // whether admission control applies; nil for always
+	Quarantine *crlquarantine.Registry // what crashes servers; nil for one that only this Service feeds
+	Retries    *crlbudget.RetryBudget
+	Pace       *crlpace.Estimator // learns the costs of requests to model engines; nil for one that only this Service feeds
+	Transport  http.RoundTripper
+	Probe      Probe         // checks unresponsive servers; nil opens a TCP connection
+	Domain     crlid.Domain  // failure domain of this daemon
+	Peers      func() []Peer // returns the other routers that requests may be handed over to; nil for none
+	// PlacePeers returns those of them that have places at one of the brittle servers of a service, empty if none is known; nil stands for Peers.
+	PlacePeers         func(crlid.Service) []Peer
 	Log                *crllog.Logger
 	Metrics            *Metrics
 	Now                crlclock.Clock
--- a/crlrelay/rank.go
+++ b/crlrelay/rank.go
@@ -1,7 +1,9 @@
 package crlrelay
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -24,6 +26,27 @@
 	return rank, len(hashes), true
 }
 
+// First returns the first daemons of the roster in the order of Rank for a key, all of them if there are fewer than count.
+func (f *Follower) First(key uint64, count int) []Member {
+	f.mu.Lock()
+	members, hashes := f.roster.Members, f.roster.hashes
+	f.mu.Unlock()
+	type ranked struct {
+		weight uint64
+		index  int
+	}
+	order := make([]ranked, 0, len(hashes))
+	for i, h := range hashes {
+		order = append(order, ranked{weight(h, key), i})
+	}
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.index, b.index)) })
+	first := make([]Member, 0, min(count, len(order)))
+	for _, r := range order[:min(count, len(order))] {
+		first = append(first, members[r.index])
+	}
+	return first
+}
+
 // prepare computes what Rank and digest need of a roster that is kept. self is the address of this daemon.
 func (r *Roster) prepare(self string) {
 	r.knownDigest = 0 // The caller may have changed a roster that was held.
--- a/crlrouter/handover.go
+++ b/crlrouter/handover.go
@@ -8,6 +8,8 @@
 
 	"github.com/cranberrylock/cranberrylock/crlconn"
 	"github.com/cranberrylock/cranberrylock/crlforward"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlrelay"
 )
 
 // handoverPeers returns the function that lists the other routers to which requests may be handed over: all of the roster. It is nil if this router
@@ -17,16 +19,34 @@
 	if err != nil {
 		return nil
 	}
-	return func() []crlforward.Peer {
-		roster := r.follower.Roster()
-		peers := make([]crlforward.Peer, 0, len(roster.Members))
-		for _, m := range roster.Members {
-			if host, _, err := net.SplitHostPort(m.Address); err == nil && m.Address != r.follower.Self().Address {
-				peers = append(peers, crlforward.Peer{Address: net.JoinHostPort(host, port), Domain: m.Domain})
-			}
+	return func() []crlforward.Peer { return r.peersOf(r.follower.Roster().Members, port) }
+}
+
+// placePeers returns the function that lists those of the other routers which have places at a random brittle server of a service. It is nil if this
+// router doesn't take any requests itself.
+func (r *Router) placePeers() func(crlid.Service) []crlforward.Peer {
+	_, port, err := net.SplitHostPort(r.config.Settings.HandoverListen)
+	if err != nil {
+		return nil
+	}
+	return func(service crlid.Service) []crlforward.Peer {
+		key, places, ok := r.fleet.BrittleServer(service)
+		if !ok {
+			return nil
+		}
+		return r.peersOf(r.follower.First(key, places), port)
+	}
+}
+
+// peersOf returns the members without this router, with the port on which they take requests.
+func (r *Router) peersOf(members []crlrelay.Member, port string) []crlforward.Peer {
+	peers := make([]crlforward.Peer, 0, len(members))
+	for _, m := range members {
+		if host, _, err := net.SplitHostPort(m.Address); err == nil && m.Address != r.follower.Self().Address {
+			peers = append(peers, crlforward.Peer{Address: net.JoinHostPort(host, port), Domain: m.Domain})
 		}
-		return peers
 	}
+	return peers
 }
 
 // listenForHandovers opens the listener for requests that other routers hand over, and adds its server to the group.
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -142,7 +142,7 @@
 		confirmationAge = time.Duration(confirmationAgeFraction * float64(s.Bounds.Revocation))
 	}
 	r.service = crlforward.New(crlforward.Config{
-		Dialect: config.Dialect, State: r.state, Domain: s.Domain, Peers: r.handoverPeers(), Fleet: r.fleet, Rollouts: rollouts, Quarantine: r.quarantine.registry,
+		Dialect: config.Dialect, State: r.state, Domain: s.Domain, Peers: r.handoverPeers(), PlacePeers: r.placePeers(), Fleet: r.fleet, Rollouts: rollouts, Quarantine: r.quarantine.registry,
 		Retries: crlbudget.NewRetryBudget(crlbudget.RetryBudgetConfig{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Share: r.members.share,
 		}),
