End a stream's send when its answer has bytes that are no part of it

Here, answers with another status were dropped already. An answer with status 200 that had a text, a head or an event of an error in place of the next event was passed on, as only the numbers of events were checked and what has none was taken for an event; the stream then ended as complete. The same held for a head within the first answer.

An answer that goes on with a stream must now begin with a numbered event; comments before it are left out. Once the caller has a part of a stream, bytes that are neither fields nor comments end the send, and the stream goes on at another server or breaks off.

--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -37,7 +37,7 @@
 	events, stop := newEventReader(response)
 	defer stop()
 	defer comparison.endStream()
-	fresh := !x.stream.started // no earlier send has given the caller part of the answer
+	part := continuation{stream: &x.stream, fresh: !x.stream.started, begun: !x.stream.started}
 	controller := http.NewResponseController(x.writer)
 	for {
 		event, err := events.next()
@@ -52,15 +52,11 @@
 		}
 		comparison.countEvent(err == nil)
 		id, numbered := eventID(event)
-		if numbered && id <= x.stream.lastEvent {
-			if err != nil {
-				return verdictAnswered, crlfleet.OutcomeAnswered
-			}
+		if relay, partErr := part.judge(event, id, numbered); partErr != nil {
+			return s.handleBrokenStream(ctx, x, partErr)
+		} else if !relay {
 			continue
 		}
-		if numbered && !fresh && id != x.stream.lastEvent+1 {
-			return s.handleBrokenStream(ctx, x, errGap)
-		}
 		if !x.stream.started {
 			if x.fallbackTimer != nil && !x.fallbackTimer.Stop() {
 				return verdictFinal, crlfleet.OutcomeNeutral // The timer has fired, so the fallback answer is sent instead of this one.
@@ -85,6 +81,31 @@
 	}
 }
 
+// continuation judges the events of an answer that may have to go on with a stream of which the caller has a part.
+type continuation struct {
+	stream *stream
+	fresh  bool // whether the caller had nothing when the answer began
+	begun  bool // whether the answer has shown that it goes on with the caller's stream
+}
+
+// judge reports whether the caller is to get an event, and returns an error if it is no part of the caller's stream. Events that the caller has are left
+// out, and so are comments before the first numbered event of an answer that goes on with a stream. An event without a number may come later only.
+func (c *continuation) judge(event []byte, id int64, numbered bool) (relay bool, err error) {
+	c.begun = c.begun || numbered
+	switch {
+	case numbered && id <= c.stream.lastEvent:
+		return false, nil
+	case numbered && !c.fresh && id != c.stream.lastEvent+1:
+		return false, errGap
+	case numbered || len(event) == 0 || !c.stream.started:
+		return true, nil
+	case !isEvent(event) || !c.begun && !isComment(event):
+		return false, errNoEvent
+	default:
+		return c.begun, nil
+	}
+}
+
 // callerFailed ends a request whose caller can't be written to.
 func (x *exchange) callerFailed(err error) (verdict, crlfleet.Outcome) {
 	x.trace.cause = err.Error()
@@ -144,6 +165,9 @@
 // errGap ends a send whose stream skips events that the caller does not have.
 var errGap = errors.New("continued stream does not start at the event after the last one relayed")
 
+// errNoEvent ends a send whose stream has bytes that are no event, or no part of the caller's stream: an error of the server, for example.
+var errNoEvent = errors.New("stream has bytes that are no part of it")
+
 // writeHead sends the status and headers of an answer to the caller.
 func (x *exchange) writeHead(response *http.Response) {
 	copyHeader(x.writer.Header(), response.Header)
@@ -197,6 +221,28 @@
 	return err == nil
 }
 
+// isEvent reports whether a text of lines that ends with an empty one is an event: fields whose names are of small letters and dashes, and comments.
+func isEvent(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, _, isField := bytes.Cut(line, []byte(":"))
+		if len(line) > 0 && !isField || len(bytes.Trim(name, "abcdefghijklmnopqrstuvwxyz-")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// isComment reports whether an event has only comments.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 var idField = []byte("id:")
 
 // eventID returns the number in an event's id field; ok is false if the field is missing or not a number.
--- a/crlforward/unframed_test.go
+++ b/crlforward/unframed_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // endsAfter returns a step whose answer has neither a length nor chunks, and whose connection is closed after text.
@@ -138,3 +140,47 @@
 		})
 	}
 }
+
+// TestErrorOfAServerIsNoPartOfTheStream guards against callers that find the text or the head of a server's error in the middle of their stream (MIXED), or a
+// stream that ends as if it were complete (ORDER), after the server that began it broke off and another one answered with an error.
+func TestErrorOfAServerIsNoPartOfTheStream(t *testing.T) {
+	const head = "HTTP/1.1 503 Service Unavailable\r\nServer: engine\r\nContent-Length: 8\r\n\r\n"
+	begun, rest := breaksAfter(events(1, 2)), answers(events(3, 4))
+	for _, tc := range []struct {
+		name    string
+		path    string
+		steps   []step
+		want    string
+		aborted bool
+	}{
+		{"failure", "/draft/1", []step{begun, fails(http.StatusInternalServerError, signed), rest}, events(1, 4), false},
+		{"refusal", "/draft/1", []step{begun, fails(http.StatusServiceUnavailable, map[string]string{"X-Not-Run": "1"}), rest}, events(1, 4), false},
+		{"denial", "/draft/1", []step{begun, fails(http.StatusNotFound, signed), rest}, events(1, 4), false},
+		{"success with a text", "/draft/1", []step{begun, answers("overloaded"), rest}, events(1, 4), false},
+		{"success with a text and an empty line", "/draft/1", []step{begun, answers("overloaded\n\n"), rest}, events(1, 4), false},
+		{"success with an event of an error", "/draft/1", []step{begun, answers("event: error\ndata: overloaded\n\n"), rest}, events(1, 4), false},
+		{"success with a head", "/draft/1", []step{begun, answers(head), rest}, events(1, 4), false},
+		{"success with a head and a text", "/draft/1", []step{begun, answers(head + "overload"), rest}, events(1, 4), false},
+		{"head after an event", "/draft/1", []step{begun, answers(events(3, 3) + head), answers(events(4, 4))}, events(1, 4), false},
+		{"head within the first answer", "/draft/1", []step{answers(events(1, 2) + head), rest}, events(1, 4), false},
+		{"text within the first answer", "/draft/1", []step{answers(events(1, 2) + "overloaded\n\n"), rest}, events(1, 4), false},
+		{"only errors", "/draft/1", []step{begun, answers(head), answers("overloaded\n\n")}, events(1, 2), true},
+		{"only failures", "/draft/1", []step{begun, fails(http.StatusInternalServerError, signed), fails(http.StatusBadGateway, signed)}, events(1, 2), true},
+		{"stream that can't be resumed", "/once/1", []step{answers(events(1, 2) + head), rest}, events(1, 2), true},
+		{"comments", "/draft/1", []step{begun, answers(": waiting\n\n" + events(3, 3) + ": waiting\n\n" + events(4, 4))}, events(1, 3) + ": waiting\n\n" + events(4, 4), false},
+		{"nothing left", "/draft/1", []step{breaksAfter(events(1, 4)), answers(": end\n\n")}, events(1, 4), false},
+		{"another field", "/draft/1", []step{answers(events(1, 1) + "weight-versions: 7\nid: 2\ndata: token\n\n" + events(3, 3))}, events(1, 1) + "weight-versions: 7\nid: 2\ndata: token\n\n" + events(3, 3), false},
+		{"numbers only at first", "/draft/1", []step{answers(events(1, 2) + "data: [DONE]\n\n")}, events(1, 2) + "data: [DONE]\n\n", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(tc.steps...)
+				got, aborted := c.call(t.Context(), tc.path, map[string]string{"X-Output": "20"})
+				if got.Body.String() != tc.want || aborted != tc.aborted {
+					t.Errorf("got %q, cut off %t, want %q, %t", got.Body, aborted, tc.want, tc.aborted)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
