Record attempts in the former selection too

TestSelectionsAreAsBefore failed since the limit on requests to brittle servers that may be full: the selection that it compares with did not record when a request was sent to such a server.

--- a/crlfleet/former_test.go
+++ b/crlfleet/former_test.go
@@ -40,6 +40,7 @@
 					ExpectedFirstByte: need.ExpectedFirstByte, fleet: f.Fleet, server: s, load: l, work: need.Work, workAfter: need.WorkAfter,
 					pickedAt: now, segment: segment,
 				}
+				f.recordAttempt(s, now)
 				f.beginLoad(p, need, now)
 				return p, nil
 			}
