--- a/crlfleet/partition_test.go
+++ b/crlfleet/partition_test.go
@@ -117,6 +117,9 @@
 // them at the cost of the long ones.
 func TestLongPromptsDelayFewShortRequests(t *testing.T) {
 	for _, daemons := range []int{6, 83, 295} {
+		if testing.Short() && daemons > 83 {
+			continue
+		}
 		for _, gone := range []int{0, 22} {
 			t.Run(fmt.Sprintf("%d-daemons/%d-leave", daemons, gone), func(t *testing.T) {
 				load := mixedLoad{daemons: daemons, servers: 90, load: 0.6, gone: gone}
--- a/crlfleet/remote_test.go
+++ b/crlfleet/remote_test.go
@@ -201,6 +201,9 @@
 		{295, []float64{1}, 30 * time.Second, 1.2, 1.05},
 		{83, []float64{0.6, 1, 1.6}, 12 * time.Second, 1.5, 0.7},
 	} {
+		if testing.Short() && test.daemons > 83 {
+			continue
+		}
 		t.Run(fmt.Sprintf("%d-daemons/%d-speeds", test.daemons, len(test.speeds)), func(t *testing.T) {
 			var waits []float64
 			for _, exchange := range []bool{false, true} {
--- a/crlrelay/outage_test.go
+++ b/crlrelay/outage_test.go
@@ -26,6 +26,9 @@
 func TestAllRoutersAreConfirmedSoonAfterAnOutage(t *testing.T) {
 	const limit = 2 * FollowWait
 	for _, size := range []struct{ members, domains, phases int }{{9, 3, 4}, {63, 4, 4}, {74, 3, 4}, {295, 6, 2}} {
+		if testing.Short() && size.members > 63 {
+			continue
+		}
 		for _, bounds := range []relayBounds{twoSeconds, threeSeconds} {
 			t.Run(fmt.Sprintf("%d/%s", size.members, bounds.bound), func(t *testing.T) {
 				for phase := range size.phases {
--- a/crlrelay/tree_test.go
+++ b/crlrelay/tree_test.go
@@ -101,6 +101,9 @@
 // of feeders and of a whole failure domain with a reader. No daemon may turn to the store while a reader serves.
 func TestChangesReachLargeFleets(t *testing.T) {
 	for _, c := range []struct{ members, domains int }{{9, 3}, {63, 4}, {295, 6}, {1000, 6}} {
+		if testing.Short() && c.members > 63 {
+			continue
+		}
 		t.Run(fmt.Sprint(c.members), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -110,11 +110,12 @@
 	clock     crlclock.Clock
 	codec     Codec
 	dialect   crlforward.Dialect
-	transport http.RoundTripper // carries sends to backend servers
-	probe     crlforward.Probe  // checks backend servers; nil for TCP
-	grace     time.Duration     // Bounds.Grace of the routers
-	domain    crlid.Domain      // failure domain of the next router to start
-	wire      *crlfake.Network  // carries calls between routers, encoded, instead of network; nil for none
+	transport http.RoundTripper           // carries sends to backend servers
+	probe     crlforward.Probe            // checks backend servers; nil for TCP
+	grace     time.Duration               // Bounds.Grace of the routers
+	domain    crlid.Domain                // failure domain of the next router to start
+	wire      *crlfake.Network            // carries calls between routers, encoded, instead of network; nil for none
+	caller    func(n int) crlrelay.Caller // carries the calls of router n over network; nil for network itself
 }
 
 func newCluster(store *memoryStore) *cluster {
@@ -130,6 +131,9 @@
 
 // peers returns the client with which router n calls the others.
 func (c *cluster) peers(n int) crlrelay.Caller {
+	if c.caller != nil {
+		return c.caller(n)
+	}
 	if c.wire == nil {
 		return c.network
 	}
--- a/crlrouter/stalled_transfer_test.go
+++ b/crlrouter/stalled_transfer_test.go
@@ -31,6 +31,9 @@
 	} {
 		t.Run(fault.name, func(t *testing.T) {
 			for phase := time.Duration(0); phase < 700*time.Millisecond; phase += 250 * time.Millisecond {
+				if testing.Short() && phase > 0 {
+					break
+				}
 				synctest.Test(t, func(t *testing.T) { fault.run(t, phase) })
 			}
 		})
