--- a/crlfleet/brittle.go
+++ b/crlfleet/brittle.go
@@ -27,8 +27,8 @@
 type serviceBrittleness struct {
 	beganAt       crlclock.Instant // first statement of the present time of brittleness, or when this daemon learned of it
 	settledAt     crlclock.Instant // until then, requests from before may still fill the servers, which go on letting them wait
-	stated        word             // latest statement
-	sound         word             // sending of the latest request whose answer didn't state it
+	stated        observation      // latest statement
+	sound         observation      // sending of the latest request whose answer didn't state it
 	maxRejections float64          // as stated last
 }
 
@@ -65,11 +65,11 @@
 			service.beganAt, service.settledAt = now, now.Add(settleTime)
 		}
 		most := max(stated.MaxRejections, minMaxRejections)
-		service.stated.hear(now)
+		service.stated.record(now)
 		service.maxRejections = most
 		s.brittle.statedAt, s.brittle.maxRejections = max(s.brittle.statedAt, p.pickedAt), most
 	} else {
-		service.sound.hear(p.pickedAt)
+		service.sound.record(p.pickedAt)
 		s.brittle.soundAt = max(s.brittle.soundAt, p.pickedAt)
 	}
 	switch after := s.brittle.isBrittle(service, now); {
--- a/crlfleet/brittle_exchange.go
+++ b/crlfleet/brittle_exchange.go
@@ -11,62 +11,62 @@
 )
 
 const (
-	// maxHops is the number of daemons that pass a word on: twice the depth of the relay tree of the largest fleets.
+	// maxHops is the number of daemons that pass an observation on: twice the depth of the relay tree of the largest fleets.
 	maxHops = 8
-	// hopTime is added to the age of a word with each daemon that passes it on, so that it never looks newer than it is: more than the way of a call.
+	// hopTime is added to the age of an observation with each daemon that passes it on, so that it never looks newer than it is: more than the way of a call.
 	hopTime = 100 * time.Millisecond
-	// minNews is the time by which a word has to be newer than the known one. Otherwise a word would be renewed by coming back from those that it was told.
-	minNews = 500 * time.Millisecond
+	// minAdvance is the time by which an observation has to be newer than the known one. Otherwise it would be renewed by coming back from those that were told.
+	minAdvance = 500 * time.Millisecond
 	// maxExchangedServices bounds the services in a message, and the memory for services without servers.
 	maxExchangedServices = 256
 )
 
-// word is when servers of a service stated something, as far as this daemon knows.
-type word struct {
+// observation is when servers of a service stated something, as far as this daemon knows.
+type observation struct {
 	at   crlclock.Instant // 0 for never
 	hops int              // daemons that passed it on, 0 for an answer to this daemon
 }
 
-// hear replaces the word by that of an answer to this daemon, unless it is older.
-func (w *word) hear(at crlclock.Instant) {
-	if at > w.at {
-		*w = word{at: at}
+// record replaces the observation by that of an answer to this daemon, unless it is older.
+func (o *observation) record(at crlclock.Instant) {
+	if at > o.at {
+		*o = observation{at: at}
 	}
 }
 
-// learn replaces the word by another daemon's if that is newer, and reports whether it did.
-func (w *word) learn(m *wordMessage, now crlclock.Instant) bool {
+// merge replaces the observation by another daemon's if that is newer, and reports whether it did.
+func (o *observation) merge(m *observationMessage, now crlclock.Instant) bool {
 	if m == nil || m.AgeMS < 0 || m.AgeMS > brittleExpiry.Milliseconds() || m.Hops < 0 || m.Hops >= maxHops {
 		return false
 	}
 	at := now.Add(-time.Duration(m.AgeMS)*time.Millisecond - hopTime)
-	if at < w.at.Add(minNews) {
+	if at < o.at.Add(minAdvance) {
 		return false
 	}
-	*w = word{at: at, hops: m.Hops + 1}
+	*o = observation{at: at, hops: m.Hops + 1}
 	return true
 }
 
-// message returns the word for other daemons, nil if there is none.
-func (w *word) message(now crlclock.Instant) *wordMessage {
-	age := now.Sub(w.at)
-	if w.at == 0 || age > brittleExpiry || w.hops >= maxHops {
+// message returns the observation for other daemons, nil if there is none.
+func (o *observation) message(now crlclock.Instant) *observationMessage {
+	age := now.Sub(o.at)
+	if o.at == 0 || age > brittleExpiry || o.hops >= maxHops {
 		return nil
 	}
-	return &wordMessage{AgeMS: max(age.Milliseconds(), 0), Hops: w.hops}
+	return &observationMessage{AgeMS: max(age.Milliseconds(), 0), Hops: o.hops}
 }
 
-// wordMessage is a word in messages, which hold no points in time, because the clocks of daemons are not compared.
-type wordMessage struct {
+// observationMessage is an observation in messages, which hold no points in time, because the clocks of daemons are not compared.
+type observationMessage struct {
 	AgeMS int64 `json:"age-ms"`
 	Hops  int   `json:"hops,omitempty"`
 }
 
 // brittlenessMessage is what the servers of a service stated, in messages.
 type brittlenessMessage struct {
-	MaxRejections float64      `json:"max-rejections"`
-	Stated        *wordMessage `json:"stated"`
-	Sound         *wordMessage `json:"sound,omitempty"`
+	MaxRejections float64             `json:"max-rejections"`
+	Stated        *observationMessage `json:"stated"`
+	Sound         *observationMessage `json:"sound,omitempty"`
 }
 
 // BrittlenessExchange tells daemons which services are brittle, for those whose own requests don't: daemons that have just started, and those without
@@ -116,21 +116,21 @@
 	defer f.mu.Unlock()
 	for name, m := range message {
 		if _, known := f.loads[name]; known || len(f.loads) < maxExchangedServices {
-			f.serviceLoad(name).brittle.learn(m, now)
+			f.serviceLoad(name).brittle.merge(m, now)
 		}
 	}
 }
 
-// learn applies what another daemon knows.
-func (b *serviceBrittleness) learn(m brittlenessMessage, now crlclock.Instant) {
+// merge applies what another daemon knows.
+func (b *serviceBrittleness) merge(m brittlenessMessage, now crlclock.Instant) {
 	if m.Stated == nil || m.MaxRejections < 0 || math.IsInf(m.MaxRejections, 0) {
 		return
 	}
 	wasActive := b.isActive(now)
-	if b.stated.learn(m.Stated, now) {
+	if b.stated.merge(m.Stated, now) {
 		b.maxRejections = max(m.MaxRejections, minMaxRejections)
 	}
-	b.sound.learn(m.Sound, now)
+	b.sound.merge(m.Sound, now)
 	if !wasActive && b.isActive(now) {
 		// Servers have stated it to others for a while.
 		b.beganAt, b.settledAt = now, now
--- a/crlfleet/brittle_exchange_test.go
+++ b/crlfleet/brittle_exchange_test.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// TestWordsOfBrittlenessDieOut guards against daemons that renew each other's knowledge by passing it back and forth, so that servers count as brittle for good.
-func TestWordsOfBrittlenessDieOut(t *testing.T) {
+// TestObservationsOfBrittlenessDieOut guards against daemons that renew each other's knowledge by passing it back and forth, so that servers count as brittle for good.
+func TestObservationsOfBrittlenessDieOut(t *testing.T) {
 	for _, delay := range []time.Duration{0, 10 * time.Millisecond, 90 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second} {
 		clock := &fakeClock{now: crlclock.Instant(time.Hour)}
 		fleets := []*Fleet{newBrittleFleet(t, clock, 0, 3, 6), newStatingFleet(clock, allSlots{}, 3), newStatingFleet(clock, allSlots{}, 3)}
@@ -60,12 +60,12 @@
 	}
 }
 
-// TestBadWordsOfBrittlenessAreIgnored guards against messages that put servers out of use, or take memory, by values that no daemon sends.
-func TestBadWordsOfBrittlenessAreIgnored(t *testing.T) {
+// TestBadMessagesOfBrittlenessAreIgnored guards against messages that put servers out of use, or take memory, by values that no daemon sends.
+func TestBadMessagesOfBrittlenessAreIgnored(t *testing.T) {
 	many := make(map[string]brittlenessMessage)
-	many["drafts"] = brittlenessMessage{MaxRejections: 1, Stated: &wordMessage{}}
+	many["drafts"] = brittlenessMessage{MaxRejections: 1, Stated: &observationMessage{}}
 	for n := range maxExchangedServices {
-		many[fmt.Sprint("drafts-", n)] = brittlenessMessage{MaxRejections: 1, Stated: &wordMessage{}}
+		many[fmt.Sprint("drafts-", n)] = brittlenessMessage{MaxRejections: 1, Stated: &observationMessage{}}
 	}
 	flood, err := json.Marshal(many)
 	if err != nil {
