Start the streams of a test of engines in a fixed order

Traced: nine goroutines started at one moment of virtual time, in any order. A patient stream that begins before the interactive ones makes its first token at full speed and ends sooner, so the last one has fewer others beside it and takes exactly 100 ms.

--- a/crlfake/profile_test.go
+++ b/crlfake/profile_test.go
@@ -39,11 +39,12 @@
 		times := make(chan time.Duration, 3)
 		for range 3 {
 			go func() { times <- chat(e, "interactive", "x") }()
+			synctest.Wait() // A stream that begins beside fewer others makes its first token sooner.
 		}
 		for range 5 {
 			go chat(e, "patient", "x")
+			synctest.Wait()
 		}
-		synctest.Wait()
 		// The interactive streams leave one place of the batch to six patient ones.
 		patient := chat(e, "patient", "x")
 		if got := <-times; got != 40*time.Millisecond {
