--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // acknowledged tells when and where the store took a record.
 type acknowledged struct {
@@ -18,6 +21,8 @@
 	version int
 	routes  []route
 	keys    map[string][]string // by tenant
+	// headerBytes is the limit on headers, 0 for 16,384.
+	headerBytes int
 }
 
 func (c config) json() string {
@@ -57,6 +62,6 @@
 	}
 	return toJSON(map[string]any{
 		"version": c.version, "routes": routes, "services": services, "tenants": tenants,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": cmp.Or(c.headerBytes, 16384), "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 	"reader-restarts": readerRestarts,
 	"large-bodies":    largeBodies,
 	"two-slashes":     twoSlashes,
+	"raised-limit":    raisedLimit,
 }
 
 func main() { os.Exit(play()) }
