--- a/review/standin/case_restart.go
+++ b/review/standin/case_restart.go
@@ -19,7 +19,7 @@
 	w.linkDelay = 1400 * time.Microsecond // between two zones
 	w.putConfig(config{version: 3, keys: map[string][]string{"firm-a": {"key-a1"}}, routes: []route{{"/stream/", "stream", "models"}}})
 	zones := []string{"zone-a", "zone-b"}
-	for n := range 12 {
+	for n := range 14 {
 		w.startEngine("i-models-"+fmt.Sprint(n+1), "models", zones[n%2])
 	}
 	w.startRouters("zone-a", "zone-b", "zone-a", "zone-b", "zone-a", "zone-b")
@@ -32,7 +32,7 @@
 	}()
 	time.Sleep(12 * time.Second) // All routers have joined, and the first one is the first of the group.
 	gone := make(map[string]time.Time)
-	for n := range 6 {
+	for n := range 8 {
 		if w.trouble {
 			w.routers[0].signal(syscall.SIGKILL)
 			<-w.routers[0].exited
