State in a request's line how often servers may have run it

The lines of a request at the routers that it was handed over between don't tell what the first router believed: they list sends, but not which of them may have run, nor the total that a route's attempts were compared with.

A line has runs when a request may have run more than once or was handed over, and runs-before at the router that took it.

Evidence: go test ./crlforward passes; the lines of TestHandovers have the field.

--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -83,7 +83,10 @@
 		attributes = append(attributes, slog.Duration("proof-age-ms", x.trace.confirmationAge))
 	}
 	if x.handedOver {
-		attributes = append(attributes, slog.Bool("handed-over", true))
+		attributes = append(attributes, slog.Bool("handed-over", true), slog.Int("runs-before", x.runsBefore))
+	}
+	if x.runs > 1 || x.handedOver || len(x.peers) > 0 {
+		attributes = append(attributes, slog.Int("runs", x.runs))
 	}
 	if x.trace.part != "" {
 		attributes = append(attributes, slog.String("part", x.trace.part))
