--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -252,6 +252,7 @@
 			Name: "once", Host: "h", Prefix: "/once/", Kind: crlroute.KindStream, Timeout: 25 * time.Second, Attempts: 3,
 			Models: []crlid.Model{"small", "large"},
 		},
+		{Name: "many", Host: "h", Prefix: "/many/", Kind: crlroute.KindIdempotent, Timeout: time.Second, Attempts: 4},
 		{Name: "search", Host: "h", Prefix: "/search/", Kind: crlroute.KindIdempotent, Timeout: 4 * time.Second, Attempts: 2},
 		{Name: "public", Host: "h", Prefix: "/public/", Kind: crlroute.KindIdempotent, Timeout: time.Second, Attempts: 2, Public: true},
 	}
