Count the runs of a request at all routers against its route's attempts

Cause: the number of runs travelled to the router that a request was handed over to, and nothing travelled back. The first router counted one run for each handover, whatever happened there; and own sends after a handover were bounded by another counter, which handovers don't raise. The class is a bound that several parties spend from and nobody accounts for.

Change: the router that the caller reached keeps the count. It grants the other one a number of runs, all but one of those left, and the other states in its answer or refusal what it used. An exchange that is broken off, and a stream, count as all that was granted. Runs bound every send, also before a stream has begun. A router without a limit in the request (of an earlier version, which counts one for each handover) is served one run; an answer without a number counts as all that the route allows.

As the other router may now use less than the route allows, what it gives back - a server's failure, or its part used up - goes on at the next router. Failed dials of the first router no longer end a lookup whose answer was lost on the way, so that case of TestHandovers now expects a second run and a failure after that; its fakes state their runs, and earlier versions' answers have cases of their own.

--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -76,9 +76,9 @@
 	}
 	refusal := s.checkNextSend(x)
 	cutOff := s.reachability.isCutOff(ctx)
-	if cutOff && refusal == nil {
-		if peer, ok := s.choosePeer(x, s.config.Peers); ok {
-			return s.handOver(ctx, x, peer)
+	if cutOff && (refusal == nil || refusal.Reason == ReasonAttempts) {
+		if v, final, ok := s.tryHandover(ctx, x, s.config.Peers); ok {
+			return v, final
 		}
 	}
 	if cutOff && x.handedOver && !x.stream.started {
@@ -92,15 +92,15 @@
 		}
 		refusal = x.noServerRefusal(err)
 	}
-	unreached := x.sends > x.runsBefore && !x.reached
+	unreached := x.sends > x.runsBefore && !x.connected
 	if unreached || refusal.Reason == ReasonNoPlace {
 		// No server can have the request, but a router with other links, or with places at the servers, may serve it.
 		peers := s.config.Peers
 		if !unreached {
 			peers = s.placePeers(x)
 		}
-		if peer, ok := s.choosePeer(x, peers); ok {
-			return s.handOver(ctx, x, peer)
+		if v, final, ok := s.tryHandover(ctx, x, peers); ok {
+			return v, final
 		}
 		if x.handedOver && unreached {
 			refusal.Reason = ReasonUnreachable
@@ -128,8 +128,6 @@
 }
 
 // checkNextSend returns a refusal when one more send would exceed the route's attempts or the service's retry budget.
-//
-// A send that reached no server repeats no work, so the charge that it took from the retry budget covers the next send.
 func (s *Service) checkNextSend(x *exchange) *Refusal {
 	if x.sends == 0 {
 		return nil
@@ -137,6 +135,13 @@
 	if !x.hasAttempts() {
 		return x.finalRefusal(ReasonAttempts)
 	}
+	return s.payRepeat(x)
+}
+
+// payRepeat charges the service's retry budget for the next send or handover if that may repeat work, and returns a refusal if nothing is left.
+//
+// A send that reached no server repeats no work, so the charge that it took from the retry budget covers the next send.
+func (s *Service) payRepeat(x *exchange) *Refusal {
 	if !x.reached || x.retryPaid {
 		return nil
 	}
@@ -151,15 +156,26 @@
 	maxFailedDials     = 5 // failed dials after which a started stream is cut off; with growing time-outs they take 4.5 s
 )
 
-// hasAttempts reports whether the route allows one more send. Once the caller has part of a stream, only sends that a server may
-// have run use up the route's attempts: the caller of a stream that is cut off can't be told that nothing ran.
+// hasAttempts reports whether the route allows one more send. Sends that a server may have run, here or at another router, never exceed the route's
+// attempts. Failed dials count as well until the caller has part of a stream: the caller of a stream that is cut off can't be told that nothing ran.
 func (x *exchange) hasAttempts() bool {
+	if x.runs >= x.runLimit() {
+		return false
+	}
 	if x.stream.started {
-		return x.runs < x.route.Attempts && x.sends < startedSendsFactor*x.route.Attempts && x.failedDials < maxFailedDials
+		return x.sends < startedSendsFactor*x.route.Attempts && x.failedDials < maxFailedDials
 	}
 	return x.sends < x.route.Attempts
 }
 
+// runLimit returns how often the request may run in all: as often as its route allows, or as the router that handed it over does.
+func (x *exchange) runLimit() int {
+	if x.handedOver {
+		return min(x.route.Attempts, x.grantedRuns)
+	}
+	return x.route.Attempts
+}
+
 // finalRefusal returns the refusal of a request that is not sent again. Only when no server can have run the request does
 // the refusal ask the caller to retry.
 func (x *exchange) finalRefusal(reason string) *Refusal {
--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -21,8 +22,9 @@
 
 // Headers between routers. They are removed from what callers and backend servers send.
 const (
-	headerRuns    = "Cranberrylock-Runs"    // of a request: sends after which a server may have started to execute it
-	headerRefusal = "Cranberrylock-Refusal" // of an answer: the reason of the receiving router's own refusal
+	headerRuns     = "Cranberrylock-Runs"      // sends after which a server may have started to execute the request: all so far in a request, those of the router in an answer
+	headerRunLimit = "Cranberrylock-Run-Limit" // of a request: number of such sends, in all, that the receiving router must not exceed
+	headerRefusal  = "Cranberrylock-Refusal"   // of an answer: the reason of the receiving router's own refusal
 )
 
 const (
@@ -101,16 +103,49 @@
 // Handovers returns the handler of requests that other routers hand over. It never hands them over again.
 func (s *Service) Handovers() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		runs, err := strconv.Atoi(r.Header.Get(headerRuns))
-		if err != nil || runs < 0 {
+		runs, limit, err := decodeRuns(r.Header)
+		if err != nil {
 			w.Header().Set(headerRefusal, ReasonMalformed)
-			http.Error(w, "header "+headerRuns+" must be a whole number of at least 0", http.StatusBadRequest)
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		s.serve(w, r, func(x *exchange) { x.handedOver, x.runs, x.sends, x.runsBefore = true, runs, runs, runs })
+		s.serve(w, r, func(x *exchange) {
+			x.handedOver, x.runs, x.sends, x.runsBefore, x.grantedRuns = true, runs, runs, runs, limit
+			x.writer = &handoverWriter{ResponseWriter: x.writer, exchange: x}
+		})
 	})
 }
 
+// decodeRuns returns how often a request that is handed over may have run, and how often it may run in all.
+func decodeRuns(header http.Header) (runs, limit int, err error) {
+	if runs, err = strconv.Atoi(header.Get(headerRuns)); err != nil || runs < 0 {
+		return 0, 0, errors.New("header " + headerRuns + " must be a whole number of at least 0")
+	}
+	text := header.Get(headerRunLimit)
+	if text == "" {
+		return runs, runs + 1, nil // A router of an earlier version counts each handover as one run.
+	}
+	if limit, err = strconv.Atoi(text); err != nil || limit < runs {
+		return 0, 0, errors.New("header " + headerRunLimit + " must be a whole number of at least that of " + headerRuns)
+	}
+	return runs, limit, nil
+}
+
+// handoverWriter states in the answer's header how often this router has run a request that was handed over to it.
+type handoverWriter struct {
+	http.ResponseWriter
+	exchange *exchange
+}
+
+// WriteHeader writes the header of the answer.
+func (w *handoverWriter) WriteHeader(status int) {
+	w.Header().Set(headerRuns, strconv.Itoa(w.exchange.runs-w.exchange.runsBefore))
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the wrapped writer, for http.ResponseController.
+func (w *handoverWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // choosePeer returns the one of peers to which the request is to be handed over next, false if it isn't to be: a request that was handed over, one
 // that must not run twice and may have run, one that may have run as often as its route allows, and one for which other routers are of no use.
 func (s *Service) choosePeer(x *exchange, peers func() []Peer) (Peer, bool) {
@@ -129,6 +164,20 @@
 	return func() []Peer { return s.config.PlacePeers(x.service.Name) }
 }
 
+// tryHandover hands the request over to one of peers; ok is false if it isn't to be handed over.
+func (s *Service) tryHandover(ctx context.Context, x *exchange, peers func() []Peer) (v verdict, refusal *Refusal, ok bool) {
+	peer, ok := s.choosePeer(x, peers)
+	if !ok {
+		return verdictFinal, nil, false
+	}
+	v, refusal = s.handOver(ctx, x, peer)
+	return v, refusal, true
+}
+
+// grant returns how many of the runs that its route still allows the next router may use: all but one. An exchange that is broken off counts as all
+// that were granted, and the last one then lets the request be sent once more.
+func (x *exchange) grant() int { return max(x.route.Attempts-x.runs-1, 1) }
+
 // handOver sends the request to another router, which forwards it as if its caller had sent it there, and relays the answer.
 func (s *Service) handOver(ctx context.Context, x *exchange, peer Peer) (verdict, *Refusal) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -139,47 +188,66 @@
 		s.admission.Cancel(&x.admission.ticket, s.config.Now())
 	}
 	s.config.Metrics.handovers.Inc()
-	reached, start := x.reached, time.Now()
+	reached, paid, granted, start := x.reached, x.retryPaid, x.grant(), time.Now()
 	response, connected, err := s.roundTrip(ctx, cancel, x, peer.Address, func() {}, func(ctx context.Context) *http.Request {
 		header := x.forwardedHeader()
 		s.config.Dialect.EncodeHandover(header, Handover{
 			Deadline: time.Until(x.deadline), LastEvent: x.stream.lastEvent, Resumes: x.head.Resumes || x.stream.lastEvent > 0,
 		})
 		header.Set(headerRuns, strconv.Itoa(x.runs))
+		header.Set(headerRunLimit, strconv.Itoa(x.runs+granted))
 		return x.newRequest(ctx, peer.Address, header)
 	})
 	if err != nil {
+		if connected {
+			x.runs += granted
+		}
 		x.recordHandover(peer, 0, 0, err.Error())
 		if endedLocally(ctx) {
-			if connected {
-				x.runs++
-			}
 			return verdictFinal, nil
 		}
 		s.handovers.pausePeer(peer.Address)
 		if !connected {
 			return verdictAgain, nil
 		}
-		x.runs++
 		return s.retryVerdict(x), nil
 	}
 	defer response.Body.Close()
 	reason := response.Header.Get(headerRefusal)
 	x.recordHandover(peer, response.StatusCode, time.Since(start), reason)
+	ran := x.runsOfHandover(response, granted)
+	x.runs += ran
 	if reason != "" {
-		x.reached = reached
-		return s.handleRefusal(x, peer, response, reason)
+		if ran == 0 {
+			x.reached, x.retryPaid = reached, paid
+		}
+		return s.handleRefusal(x, peer, response, reason, ran > 0)
 	}
-	x.runs++
 	return s.relayHandover(ctx, x, response), nil
 }
 
-// handleRefusal returns what to do after another router has refused the request.
-func (s *Service) handleRefusal(x *exchange, peer Peer, response *http.Response, reason string) (verdict, *Refusal) {
-	mayHaveRun := response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusGatewayTimeout
-	if mayHaveRun {
-		x.runs++
+// runsOfHandover returns how often another router, which was granted a number of runs, may have run the request when its answer has ended.
+func (x *exchange) runsOfHandover(response *http.Response, granted int) int {
+	runs, err := strconv.Atoi(response.Header.Get(headerRuns))
+	switch isRefusal := response.Header.Get(headerRefusal) != ""; {
+	case err != nil && isRefusal && response.StatusCode != http.StatusBadGateway && response.StatusCode != http.StatusGatewayTimeout:
+		return 0
+	case err != nil || runs < 0:
+		return max(x.route.Attempts-x.runs, 1) // A router of an earlier version observes no limit but the route's.
+	case !isRefusal && x.isStream(response):
+		return max(runs, granted) // The other router may send the request again when the stream breaks off.
+	default:
+		return runs
 	}
+}
+
+// isStream reports whether a response is the request's stream, rather than a plain answer.
+func (x *exchange) isStream(response *http.Response) bool {
+	return response.StatusCode < http.StatusMultipleChoices && x.route.Kind == crlroute.KindStream
+}
+
+// handleRefusal returns what to do after another router has refused the request, which may have run there.
+func (s *Service) handleRefusal(x *exchange, peer Peer, response *http.Response, reason string, mayHaveRun bool) (verdict, *Refusal) {
 	switch reason {
 	case ReasonUnreachable:
 		s.handovers.pauseService(x.service.Name, servicePause)
@@ -189,7 +257,10 @@
 			s.handovers.pauseService(x.service.Name, placesPause)
 		}
 		return s.verdictAfter(x, mayHaveRun), nil
-	case ReasonOverloaded, ReasonNoBudget, ReasonCrashes, ReasonNoServer, ReasonRouteTimeout, ReasonDeadline, ReasonAttempts, ReasonOutcomeUnknown:
+	case ReasonAttempts, ReasonOutcomeUnknown:
+		// The router has used what it was granted, which may be less than the route allows.
+		return s.verdictAfter(x, mayHaveRun), nil
+	case ReasonOverloaded, ReasonNoBudget, ReasonCrashes, ReasonNoServer, ReasonRouteTimeout, ReasonDeadline:
 		refusal := x.finalRefusal(reason)
 		if x.runs == 0 || response.StatusCode != http.StatusServiceUnavailable {
 			// A router that has no room refuses without regard to the sends before, after which a server may have run the request.
@@ -216,7 +287,7 @@
 
 // relayHandover relays a backend server's answer that came over another router, which has judged it.
 func (s *Service) relayHandover(ctx context.Context, x *exchange, response *http.Response) verdict {
-	if response.StatusCode < http.StatusMultipleChoices && x.route.Kind == crlroute.KindStream {
+	if x.isStream(response) {
 		head := s.config.Dialect.DecodeAnswer(response.StatusCode, response.Header)
 		v, _ := s.relayStream(ctx, x, nil, response, head, &modelPlan{}, &comparison{})
 		return v
@@ -237,6 +308,10 @@
 		s.recordStart(x, nil)
 	}
 	answer := &reply{status: response.StatusCode, header: response.Header, body: body}
+	if response.StatusCode >= http.StatusInternalServerError && complete && x.route.Repeatable() && x.runs < x.route.Attempts {
+		x.lastFailure = answer
+		return verdictAgain
+	}
 	x.trace.status = answer.status
 	if !complete {
 		v, _ := s.relayOversized(x, answer, response)
--- a/crlforward/handover_test.go
+++ b/crlforward/handover_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,14 +31,34 @@
 	return c
 }
 
-// refuses returns a step that answers as a router that refuses a request that was handed over to it.
+// refuses returns a step that answers as a router that refuses a request that was handed over to it, after one run if the status says that it may have run.
 func refuses(status int, reason string) step {
+	runs := 0
+	if status == http.StatusBadGateway || status == http.StatusGatewayTimeout {
+		runs = 1
+	}
+	return states(runs, formerlyRefuses(status, reason))
+}
+
+// formerlyRefuses returns a step that answers as a router of an earlier version, which doesn't state how often it ran the request.
+func formerlyRefuses(status int, reason string) step {
 	return func(r *http.Request) (*http.Response, error) {
 		connect(r)
 		return newResponse(r, status, map[string]string{headerRefusal: reason}, strings.NewReader(reason)), nil
 	}
 }
 
+// states returns a step that answers as a router which ran the request a number of times.
+func states(runs int, s step) step {
+	return func(r *http.Request) (*http.Response, error) {
+		response, err := s(r)
+		if response != nil {
+			response.Header.Set(headerRuns, strconv.Itoa(runs))
+		}
+		return response, err
+	}
+}
+
 // isRouter reports whether a send went to a router.
 func isRouter(r *http.Request) bool { return strings.HasPrefix(r.URL.Host, "router") }
 
@@ -44,7 +67,7 @@
 func TestHandovers(t *testing.T) {
 	full := func(r *http.Request) (*http.Response, error) {
 		connect(r)
-		return newResponse(r, http.StatusServiceUnavailable, map[string]string{headerRefusal: ReasonOverloaded}, strings.NewReader("")), nil
+		return newResponse(r, http.StatusServiceUnavailable, map[string]string{headerRefusal: ReasonOverloaded, headerRuns: "0"}, strings.NewReader("")), nil
 	}
 	for _, tc := range []struct {
 		name   string
@@ -80,11 +103,30 @@
 		}, http.StatusBadGateway, "ssrr", false},
 		{"stream that the other router aborts as it stops", "/draft/1", []step{unreachable, unreachable, refuses(502, ReasonDraining), answers(events(1, 3))}, http.StatusOK, "ssrr", true},
 		{"filing whose answer breaks off", "/file/1", []step{unreachable, unreachable, breaksAfter("do")}, http.StatusBadGateway, "ssr", false},
-		{"lookup whose answer is lost on the way", "/read/1", []step{unreachable, unreachable, losesAnswer}, http.StatusBadGateway, "ssr", false},
+		{"lookup whose answer is lost on the way", "/read/1", []step{unreachable, unreachable, losesAnswer, answers("done")}, http.StatusOK, "ssrr", true},
+		{"lookup whose answers are lost on the way", "/read/1", []step{unreachable, unreachable, losesAnswer, losesAnswer}, http.StatusBadGateway, "ssrr", false},
+		{"lookup that fails at the other router", "/read/1", []step{
+			unreachable, unreachable, states(1, fails(500, signed)), states(1, answers("done")),
+		}, http.StatusOK, "ssrr", true},
+		{"lookup that fails at two routers", "/read/1", []step{
+			unreachable, unreachable, states(1, fails(500, signed)), states(1, fails(500, signed)),
+		}, http.StatusInternalServerError, "ssrr", true},
+		{"lookup of which the other router has used its part", "/read/1", []step{
+			unreachable, unreachable, refuses(502, ReasonAttempts), states(1, answers("done")),
+		}, http.StatusOK, "ssrr", true},
+		{"lookup that the other router could not send", "/read/1", []step{
+			unreachable, unreachable, refuses(502, ReasonCutOff), states(0, formerlyRefuses(502, ReasonCutOff)), states(1, answers("done")),
+		}, http.StatusOK, "ssrrr", true},
+		{"lookup that a router of an earlier version may have run", "/read/1", []step{
+			unreachable, unreachable, formerlyRefuses(502, ReasonCutOff),
+		}, http.StatusBadGateway, "ssr", false},
+		{"lookup that a router of an earlier version did not run", "/read/1", []step{
+			unreachable, unreachable, formerlyRefuses(503, ReasonCutOff), answers("done"),
+		}, http.StatusOK, "ssrr", true},
 		{"filing that a server may have run", "/file/1", []step{losesAnswer}, http.StatusBadGateway, "s", false},
 		{"stream goes on", "/draft/1", []step{breaksAfter(events(1, 2)), unreachable, unreachable, answers(events(3, 4))}, http.StatusOK, "sssr", true},
 		{"stream goes on at a second router", "/draft/1", []step{
-			unreachable, unreachable, breaksAfter(events(1, 2)), answers(events(3, 4)),
+			unreachable, unreachable, states(1, breaksAfter(events(1, 2))), answers(events(3, 4)),
 		}, http.StatusOK, "ssrr", true},
 		{"one server down", "/file/1", []step{unreachable, answers("done")}, http.StatusOK, "ss", true},
 	} {
@@ -188,6 +230,78 @@
 	}
 }
 
+// TestStreamOfAnEarlierVersionIsNotResumed guards against runs beyond the route's attempts in a fleet of two versions: a router of an earlier version
+// may have run a stream as often as the route allows before it broke off.
+func TestStreamOfAnEarlierVersionIsNotResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newPeeredCluster(unreachable, unreachable, breaksAfter(events(1, 2)), answers(events(3, 4)))
+		got, aborted := c.call(t.Context(), "/draft/1", map[string]string{"X-Output": "20"})
+		if got.Body.String() != events(1, 2) || !aborted || len(c.backend.sent) != 3 {
+			t.Errorf("got %q, cut off %t, after %d sends, want two events, cut off after 3", got.Body, aborted, len(c.backend.sent))
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// TestRouterRunsARequestAsOftenAsItWasGranted checks how often a router runs a request that was handed over to it, and what it states of that.
+func TestRouterRunsARequestAsOftenAsItWasGranted(t *testing.T) {
+	failure := fails(http.StatusInternalServerError, signed)
+	for _, tc := range []struct {
+		name   string
+		path   string
+		runs   string
+		limit  string
+		steps  []step
+		status int
+		stated string
+		sends  int
+	}{
+		{"one run granted", "/many/1", "0", "1", []step{failure, answers("done")}, http.StatusInternalServerError, "1", 1},
+		{"two runs granted", "/many/1", "1", "3", []step{failure, answers("done")}, http.StatusOK, "2", 2},
+		{"two runs granted, both fail", "/many/1", "1", "3", []step{failure, failure, answers("done")}, http.StatusInternalServerError, "2", 2},
+		{"none granted", "/many/1", "1", "1", []step{answers("done")}, http.StatusBadGateway, "0", 0},
+		{"more granted than the route allows", "/read/1", "1", "9", []step{failure, answers("done")}, http.StatusInternalServerError, "1", 1},
+		{"not reached", "/many/1", "1", "3", []step{unreachable, answers("done")}, http.StatusOK, "1", 2},
+		{"not run", "/many/1", "1", "2", []step{fails(503, map[string]string{"X-Not-Run": "1"}), answers("done")}, http.StatusOK, "1", 2},
+		{"no escalation without a second run", "/draft/1", "0", "1", []step{answersWithConfidence(20, events(1, 1)), answers(events(1, 2))}, http.StatusOK, "1", 1},
+		{"escalation", "/draft/1", "0", "2", []step{answersWithConfidence(20, events(1, 1)), answers(events(1, 2))}, http.StatusOK, "2", 2},
+		{"router of an earlier version", "/many/1", "1", "", []step{failure, answers("done")}, http.StatusInternalServerError, "1", 1},
+		{"limit below the runs", "/many/1", "2", "1", nil, http.StatusBadRequest, "", 0},
+		{"no number", "/many/1", "2", "x", nil, http.StatusBadRequest, "", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(tc.steps...)
+				r := newRequest(tc.path)
+				r.Header.Set("X-Key", "key")
+				r.Header.Set(headerRuns, tc.runs)
+				if tc.limit != "" {
+					r.Header.Set(headerRunLimit, tc.limit)
+				}
+				got, _ := handTo(c, r)
+				if got.Code != tc.status || got.Header().Get(headerRuns) != tc.stated || len(c.backend.sent) != tc.sends {
+					t.Errorf("got %d with %q runs after %d sends, want %d with %q after %d",
+						got.Code, got.Header().Get(headerRuns), len(c.backend.sent), tc.status, tc.stated, tc.sends)
+				}
+				for _, sent := range c.backend.sent {
+					if sent.Header.Get(headerRuns) != "" || sent.Header.Get(headerRunLimit) != "" {
+						t.Error("a server gets headers between routers")
+					}
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// newRequest returns a request to a path as one router sends it to another.
+func newRequest(path string) *http.Request {
+	return &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: "router", Opaque: path}, Host: "h",
+		Header: http.Header{"X-Request": {"r1"}}, Body: io.NopCloser(strings.NewReader("body")),
+	}
+}
+
 // TestCutOffEndsWithAConnection checks that a router hands requests over until it opens a connection to a server, whether by a check or a send, and
 // none on a calm day.
 func TestCutOffEndsWithAConnection(t *testing.T) {
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -42,7 +42,7 @@
 
 // connectionHeaders apply to a single connection and are not forwarded.
 var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", headerRuns, headerRefusal,
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", headerRuns, headerRunLimit, headerRefusal,
 }
 
 // copyHeader copies all headers but connectionHeaders. Both headers then share the slices of values.
@@ -121,9 +121,11 @@
 func (s *Service) attempt(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, pick *crlfleet.Pick, plan *modelPlan) (
 	response *http.Response, connected bool, err error,
 ) {
-	return s.roundTrip(ctx, cancel, x, pick.Address, s.reachability.recordConnected, func(ctx context.Context) *http.Request {
+	response, connected, err = s.roundTrip(ctx, cancel, x, pick.Address, s.reachability.recordConnected, func(ctx context.Context) *http.Request {
 		return s.newAttempt(ctx, x, pick, plan)
 	})
+	x.connected = x.connected || connected
+	return response, connected, err
 }
 
 // roundTrip sends the request to the server or router at an address and returns the head of the answer. connected reports whether a connection was
@@ -306,7 +308,7 @@
 		if complete { // The caller would take a part for the whole.
 			x.lastFailure = answer
 		}
-		if x.route.Repeatable() && x.sends < x.route.Attempts {
+		if x.route.Repeatable() && x.hasAttempts() {
 			return verdictAgain, crlfleet.OutcomeFailed
 		}
 		return verdictFinal, crlfleet.OutcomeFailed
@@ -337,7 +339,7 @@
 // shouldEscalate reports whether an answer of low confidence is to be replaced by the largest model's: the request may be
 // repeated, the larger model is expected to start within the latency objective, and the retry budget allows it.
 func (s *Service) shouldEscalate(x *exchange, head AnswerHead, plan *modelPlan) bool {
-	if !plan.canEscalate() || x.stream.started || x.sends >= x.route.Attempts || !x.route.Repeatable() ||
+	if !plan.canEscalate() || x.stream.started || !x.hasAttempts() || !x.route.Repeatable() ||
 		head.Confidence == NoConfidence || head.Confidence >= escalateBelowConfidence || !s.allowsLargerModel(x) {
 		return false
 	}
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -149,7 +149,8 @@
 	sends         int                     // sends so far
 	waits         int                     // times that it waited for a server or the retry budget
 	failedDials   int                     // sends of the started stream that opened no connection; not counted in sends
-	reached       bool                    // whether a server may have received the request
+	reached       bool                    // whether a server may have received the request, here or over another router
+	connected     bool                    // whether this router has opened a connection to a server for the request
 	retryPaid     bool                    // whether the retry budget was charged for the next send
 	crashes       []crlquarantine.Crash   // servers that crashed on the request, as far as this daemon can tell
 	answerBegan   bool                    // whether a server has begun an answer to the request, here or over another router
@@ -159,6 +160,7 @@
 	tried         map[crlid.Server]bool   // servers that the request was sent to
 	peers         map[string]bool         // addresses of routers that the request was handed over to
 	runsBefore    int                     // runs when another router handed the request over
+	grantedRuns   int                     // runs, in all, that the router which handed the request over allows
 	handedOver    bool                    // whether another router handed the request over to this one
 	lastFailure   *reply                  // last answer with a 5xx status
 	fallback      *reply                  // complete answer of a smaller model, sent if the larger model does not answer
