Charge repeats that are handed over to the retry budget

A router that is cut off from servers handed a request over again after it may have run elsewhere, up to three times, without a charge: it has made no send itself, and the other router counts its first run as no repeat.

Cause: a repeat was recognised by own sends. Now it is recognised by runs, own or other routers', and a handover that may repeat work is paid for like a send. One that was refused without a run leaves the charge for the next.

Evidence: TestRepeatsThatAreHandedOverSpendRetryBudget fails without the change (200 after 8 sends, want 502 after 7).

--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -129,7 +129,7 @@
 
 // checkNextSend returns a refusal when one more send would exceed the route's attempts or the service's retry budget.
 func (s *Service) checkNextSend(x *exchange) *Refusal {
-	if x.sends == 0 {
+	if x.sends == 0 && x.runs == 0 {
 		return nil
 	}
 	if !x.hasAttempts() {
--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -170,6 +170,9 @@
 	if !ok {
 		return verdictFinal, nil, false
 	}
+	if refusal := s.payRepeat(x); refusal != nil {
+		return verdictFinal, refusal, true
+	}
 	v, refusal = s.handOver(ctx, x, peer)
 	return v, refusal, true
 }
--- a/crlforward/handover_test.go
+++ b/crlforward/handover_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
@@ -302,6 +303,29 @@
 	}
 }
 
+// TestRepeatsThatAreHandedOverSpendRetryBudget guards against repeats beyond the retry budget (BUDGET) by a router that is cut off from servers, as other
+// routers don't charge the first run there.
+func TestRepeatsThatAreHandedOverSpendRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost := losesAnswer
+		c := newPeeredCluster(
+			unreachable, unreachable, refuses(503, ReasonDraining), states(1, answers("done")), // no repeat
+			lost, answers("done"), // one repeat, which spends the budget
+			lost, answers("done"),
+		)
+		c.setRetryBudget(crlbudget.RetryBudgetConfig{Ratio: 0, Slack: 1, Window: time.Minute, Share: func() float64 { return 1 }})
+		for n, want := range []struct{ status, sends int }{{http.StatusOK, 4}, {http.StatusOK, 6}, {http.StatusBadGateway, 7}} {
+			if got, _ := c.call(t.Context(), "/read/1", nil); got.Code != want.status || len(c.backend.sent) != want.sends {
+				t.Errorf("request %d: got %d after %d sends in all, want %d after %d", n, got.Code, len(c.backend.sent), want.status, want.sends)
+			}
+			time.Sleep(peerPause)
+		}
+		if slices.ContainsFunc(c.backend.sent[2:], func(r *http.Request) bool { return !isRouter(r) }) {
+			t.Error("a router that is cut off sent a request to a server")
+		}
+	})
+}
+
 // TestCutOffEndsWithAConnection checks that a router hands requests over until it opens a connection to a server, whether by a check or a send, and
 // none on a calm day.
 func TestCutOffEndsWithAConnection(t *testing.T) {
