Refuse requests that would be sent late in a planned stop

Another operator saw requests that came late in the grace time of a planned stop passed on and cut at its end, among them ones that may not be repeated (LOST). Here a router refuses requests that arrive later than 2.5 s after the stop signal, but it went on with those whose head had arrived before: one whose body came 5 s after the signal was sent to a server, and its caller got 502 2.3 s later, so that a filing was left with an unknown outcome. The same held after a failed dial, after a server that had not run it, and for requests that were held.

Cause: whether the router still takes requests was checked once, on arrival. It is checked before each send now: a request that no server can have run is refused with 503, with an early Retry-After; over a handover, the first router turns to another one. What may have run or has begun goes on as before.

--- a/crlforward/forward.go
+++ b/crlforward/forward.go
@@ -74,6 +74,9 @@
 	if refusal := s.checkQuarantine(x); refusal != nil {
 		return verdictFinal, refusal
 	}
+	if s.closed.Load() && x.runs == x.runsBefore && !x.stream.started {
+		return verdictFinal, x.finalRefusal(ReasonDraining) // Sent now, it might still run when the process ends.
+	}
 	refusal := s.checkNextSend(x)
 	cutOff := s.reachability.isCutOff(ctx)
 	if cutOff && (refusal == nil || refusal.Reason == ReasonAttempts) {
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -101,8 +101,9 @@
 // Drain makes every answer that begins from now on close its connection. Requests are still forwarded.
 func (s *Service) Drain() { s.draining.Store(true) }
 
-// Close makes the service refuse every request that arrives from now on. It is for the last part of a shutdown, when new
-// requests would not end before the process does. Requests that are open continue.
+// Close makes the service refuse every request that arrives from now on, and every one that was not sent yet, because its body is still arriving, it is
+// held or no server could be reached. It is for the last part of a shutdown, when new requests would not end before the process does. Requests that a
+// server may have run continue.
 func (s *Service) Close() { s.closed.Store(true) }
 
 // errAborted is the cause with which Abort ends the contexts of requests.
--- a/crlrouter/callers_test.go
+++ b/crlrouter/callers_test.go
@@ -51,13 +51,18 @@
 
 // testDrain runs a test against a router with a grace time of eight seconds, whose only backend server never answers.
 func testDrain(t *testing.T, test func(t *testing.T, r *drainingRouter)) {
+	testDrainIn(t, 8*time.Second, test)
+}
+
+// testDrainIn is testDrain with another grace time.
+func testDrainIn(t *testing.T, grace time.Duration, test func(t *testing.T, r *drainingRouter)) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
 		store.put("orders", "config", "1")
 		store.put("servers", "i-1", "v1")
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newCluster(store)
-		c.codec, c.transport, c.grace = routeCodec{}, silentServer{}, 8*time.Second
+		c.codec, c.transport, c.grace = routeCodec{}, silentServer{}, grace
 		r := &drainingRouter{Router: c.start(ctx, 0), listener: crlfake.NewListener(), stopped: make(chan error, 1)}
 		time.Sleep(5 * time.Second)
 		stop, signal := context.WithCancel(ctx)
@@ -254,6 +259,25 @@
 	})
 }
 
+// TestRequestWhoseBodyArrivesLateInTheGraceTimeIsRefused guards against requests that are passed on late in a planned stop and cut at the end of its grace
+// time, among them ones that may not be repeated (LOST): the head arrives while the router still accepts requests, and the body much later.
+func TestRequestWhoseBodyArrivesLateInTheGraceTimeIsRefused(t *testing.T) {
+	testDrain(t, func(t *testing.T, r *drainingRouter) {
+		r.signal()
+		c := r.dial(t)
+		send(t, c, "POST /page HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nX-Deadline: 20000\r\n\r\nbo")
+		time.Sleep(5 * time.Second)
+		send(t, c, "dy")
+		start := time.Now()
+		if status, err := answer(c); status != http.StatusServiceUnavailable || err != nil || time.Since(start) > time.Second {
+			t.Errorf("request whose body arrives 5 s after the stop signal: got status %d, error %v after %s, want 503 at once", status, err, time.Since(start))
+		}
+		if err := <-r.stopped; !errors.Is(err, errDrained) {
+			t.Errorf("drain: got error %v, want %v", err, errDrained)
+		}
+	})
+}
+
 // TestDrainClosesQuietConnections checks that connections without a request don't hold up the end of a drain.
 func TestDrainClosesQuietConnections(t *testing.T) {
 	testDrain(t, func(t *testing.T, r *drainingRouter) {
