Read a request's target once, and forward it unchanged

Change: the target is read once, on arrival, in one place. Origin form is forwarded byte for byte, two slashes included; absolute form is matched by its own host and path (404 before) and forwarded as it is. Other forms ("*", authority form, a path without a slash), and bytes that a target may not have, get 400 and have not run; net/http no longer answers OPTIONS * by itself with a success of its own. The same over a handover.

--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -195,8 +194,7 @@
 func (x *exchange) newRequest(ctx context.Context, address string, header http.Header) *http.Request {
 	request := &http.Request{
 		Method: x.request.Method, Host: x.request.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		// An opaque URL is sent unchanged, byte for byte.
-		URL: &url.URL{Scheme: "http", Host: address, Opaque: x.request.RequestURI},
+		URL: x.target.url(address),
 	}
 	if len(x.body) > 0 {
 		// GetBody stays unset, so that net/http never repeats the request by itself.
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -134,7 +133,7 @@
 type exchange struct {
 	request       *http.Request
 	writer        http.ResponseWriter
-	path          string // path as in the request line, without the query
+	target        target
 	arrived       time.Time
 	head          Head
 	body          []byte
@@ -237,11 +236,14 @@
 	return nil
 }
 
-// readHead parses the request's headers.
+// readHead parses the request's target and headers.
 func (s *Service) readHead(_ context.Context, x *exchange) *Refusal {
 	head, err := s.config.Dialect.DecodeRequest(x.request.Header)
 	head.boundTokens()
 	x.head = head
+	if err == nil {
+		x.target, err = readTarget(x.request)
+	}
 	if err != nil {
 		x.trace.cause = err.Error()
 		return newRefusal(http.StatusBadRequest, ReasonMalformed)
@@ -260,8 +262,7 @@
 	if age := now.Sub(state.ConfirmedAt); s.config.MaxDenialAge > 0 && age > s.config.MaxDenialAge {
 		x.trace.confirmationAge = age
 	}
-	x.path, _, _ = strings.Cut(x.request.RequestURI, "?")
-	x.route = x.table.Match(x.request.Host, x.path)
+	x.route = x.table.Match(x.request.Host, x.target.path)
 	if x.route == nil {
 		return s.deny(x, newRefusal(http.StatusNotFound, ReasonNoRoute))
 	}
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -253,6 +253,7 @@
 			Models: []crlid.Model{"small", "large"},
 		},
 		{Name: "many", Host: "h", Prefix: "/many/", Kind: crlroute.KindIdempotent, Timeout: time.Second, Attempts: 4},
+		{Name: "any", Host: "any", Prefix: "/", Kind: crlroute.KindNonIdempotent, Timeout: time.Second, Attempts: 3},
 		{Name: "search", Host: "h", Prefix: "/search/", Kind: crlroute.KindIdempotent, Timeout: 4 * time.Second, Attempts: 2},
 		{Name: "public", Host: "h", Prefix: "/public/", Kind: crlroute.KindIdempotent, Timeout: time.Second, Attempts: 2, Public: true},
 	}
--- a/crlrouter/callers.go
+++ b/crlrouter/callers.go
@@ -43,7 +43,7 @@
 }
 
 func (r *Router) newCallerServer(listener net.Listener) *callerServer {
-	s := &callerServer{router: r, http: &http.Server{Handler: r.service}}
+	s := &callerServer{router: r, http: &http.Server{Handler: r.service, DisableGeneralOptionsHandler: true}}
 	s.connections = crlconn.New(crlconn.Config{OnUnanswered: r.logUnanswered, StallTimeout: callerStallTimeout, OnStalled: r.logStalled}, s.http)
 	s.listener = s.connections.Listener(listener)
 	return s
--- a/crlrouter/handover.go
+++ b/crlrouter/handover.go
@@ -73,5 +73,7 @@
 
 // newHandoverServer returns the server of requests that other routers hand over.
 func (r *Router) newHandoverServer() *http.Server {
-	return &http.Server{Handler: r.service.Handovers(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	return &http.Server{
+		Handler: r.service.Handovers(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, DisableGeneralOptionsHandler: true,
+	}
 }
