Bound the memory of requests' bodies

Cause: open requests were counted, at 64 KiB each, whatever their bodies take. Change: open requests and their bodies together may take 0.6 of the stated memory. Two gauges show what bodies and held answers take. Without a stated memory there is no limit, as before.

How the fractions were chosen: held answers keep 0.15, and about 0.1 is used at rest, which leaves 0.15 for garbage.

--- a/crlforward/held.go
+++ b/crlforward/held.go
@@ -7,19 +7,22 @@
 	"sync/atomic"
 )
 
-// freeHeldBytes is the part of each plain answer that is held without being counted. It fits into the memory that is reckoned for an open
+// freeHeldBytes is the part of each plain answer, and of each request's body, that is held without being counted. It fits into the memory that is reckoned for an open
 // request.
 const freeHeldBytes = 16 << 10
 
-// heldBytes counts the bytes of plain answers that are held for callers, beyond freeHeldBytes of each.
+// heldBytes counts the bytes of plain answers or of requests' bodies that are held, beyond freeHeldBytes of each.
 type heldBytes struct {
 	limit int64 // 0 for none
 	used  atomic.Int64
 }
 
 // take counts n more bytes, unless they would exceed the limit.
-func (h *heldBytes) take(n int64) bool {
-	if h.used.Add(n) > h.limit && h.limit > 0 {
+func (h *heldBytes) take(n int64) bool { return h.takeWithin(n, h.limit) }
+
+// takeWithin counts n more bytes, unless all together would then exceed a limit above 0.
+func (h *heldBytes) takeWithin(n, limit int64) bool {
+	if h.used.Add(n) > limit && limit > 0 && n > 0 {
 		h.used.Add(-n)
 		return false
 	}
@@ -54,5 +57,6 @@
 // releaseHeld ends the count of what was held for a request.
 func (s *Service) releaseHeld(x *exchange) {
 	s.held.used.Add(-x.heldBytes)
-	x.heldBytes = 0
+	s.bodies.used.Add(-x.bodyBytes)
+	x.heldBytes, x.bodyBytes = 0, 0
 }
--- a/crlforward/service.go
+++ b/crlforward/service.go
@@ -57,6 +57,9 @@
 	// MaxHeldBytes limits what is held of plain answers for all callers together; 0 for no limit. An answer that exceeds it is relayed as it
 	// arrives, so that it can't be replaced by another server's.
 	MaxHeldBytes int64
+	// MaxRequestBytes limits what open requests take together, with their bodies; further ones are refused. 0 stands for no limit.
+	MaxRequestBytes int64
+	RequestBytes    int64 // what an open request takes beside its body, and with a small one
 }
 
 // Service forwards requests to backend servers. It is an http.Handler.
@@ -68,6 +71,7 @@
 	handovers    *handovers
 	admission    *crladmission.Controller
 	held         heldBytes
+	bodies       heldBytes
 	openRequests atomic.Int64
 	lastArrival  atomic.Int64 // time of the newest request, in nanoseconds since the Unix epoch
 	draining     atomic.Bool
@@ -87,6 +91,7 @@
 	s := &Service{
 		config: config, sessions: newSessions(config.SessionTimeout), probes: newProbes(config.Probe),
 		handovers: newHandovers(config.Now), admission: newAdmission(config.Fleet), held: heldBytes{limit: config.MaxHeldBytes},
+		bodies: heldBytes{limit: config.MaxRequestBytes},
 	}
 	s.reachability = &reachability{
 		now: config.Now, addresses: config.Fleet.Addresses, probe: s.probes.probe, log: config.Log, failed: make(map[string]bool),
@@ -118,6 +123,12 @@
 // OpenRequests returns the number of requests being handled.
 func (s *Service) OpenRequests() int { return int(s.openRequests.Load()) }
 
+// BodyBytes returns how many bytes of requests' bodies are held, beyond a small part of each.
+func (s *Service) BodyBytes() int64 { return s.bodies.used.Load() }
+
+// HeldBytes returns how many bytes of plain answers are held, beyond a small part of each.
+func (s *Service) HeldBytes() int64 { return s.held.used.Load() }
+
 // LastArrival returns the time at which the newest request arrived.
 func (s *Service) LastArrival() time.Time { return time.Unix(0, s.lastArrival.Load()) }
 
@@ -167,6 +178,7 @@
 	fallbackTimer *time.Timer             // ends a send in time for the fallback; nil without one
 	admission     admission
 	heldBytes     int64 // counted in Service.held
+	bodyBytes     int64 // counted in Service.bodies
 	stream        stream
 	trace         trace
 }
@@ -305,45 +317,14 @@
 	return nil
 }
 
-// checkOverload refuses the request if too many are open. Its body takes memory, so it is not read before.
+// checkOverload refuses the request if too many are open, or if those that are open leave no room for it. Its body takes memory, so it is not read before.
 func (s *Service) checkOverload(_ context.Context, x *exchange) *Refusal {
-	if int(s.openRequests.Load()) > s.config.MaxOpenRequests {
+	if int(s.openRequests.Load()) > s.config.MaxOpenRequests || s.bodies.limit > 0 && s.bodies.used.Load() > s.bodyLimit(1) {
 		return s.notReady(x, ReasonOverloaded, overloadRetryAfter)
 	}
 	return nil
 }
 
-// readBody reads the whole body into memory, as it may be sent more than once. It also sets the request's deadline, at which
-// reading fails, and refuses a body above the size limit.
-func (s *Service) readBody(_ context.Context, x *exchange) *Refusal {
-	limit := x.table.Limits().BodyBytes
-	if limit > 0 && x.request.ContentLength > limit {
-		return newRefusal(http.StatusRequestEntityTooLarge, ReasonTooLarge)
-	}
-	x.setDeadline()
-	// The read deadline covers the body of this request; idle connections are bounded by the HTTP server's own timeouts.
-	if err := http.NewResponseController(x.writer).SetReadDeadline(x.deadline); err != nil {
-		x.trace.cause = err.Error()
-	}
-	var body io.Reader = x.request.Body
-	if limit > 0 {
-		body = io.LimitReader(x.request.Body, limit+1)
-	}
-	content, err := io.ReadAll(body)
-	if limit > 0 && int64(len(content)) > limit {
-		return newRefusal(http.StatusRequestEntityTooLarge, ReasonTooLarge)
-	}
-	if err != nil {
-		x.trace.cause = err.Error()
-		return newRefusal(http.StatusBadRequest, ReasonMalformed)
-	}
-	if err := http.NewResponseController(x.writer).SetReadDeadline(time.Time{}); err != nil {
-		x.trace.cause = err.Error()
-	}
-	x.body = content
-	return nil
-}
-
 // longestWait bounds the time to the deadline of every request, also where the caller and the route set no limit.
 const longestWait = 5 * time.Minute
 
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -92,6 +92,7 @@
 	confirmationAgeFraction = 0.9
 	requestMemoryBytes      = 64 << 10 // memory taken by one open request with its body and buffers
 	memoryLimitFraction     = 0.6      // soft memory limit of the Go runtime / Settings.MemoryBytes
+	requestMemoryFraction   = 0.6      // memory taken by open requests with their bodies / Settings.MemoryBytes
 	gcPercent               = 40       // below the default of 100; lowers peak memory at the cost of CPU time, which is spare
 )
 
@@ -151,6 +152,8 @@
 		// Open requests may use half of the memory limit.
 		MaxOpenRequests: max(int(float64(s.MemoryBytes)*memoryLimitFraction/2/requestMemoryBytes), minOpenRequests),
 		MaxHeldBytes:    max(int64(float64(s.MemoryBytes)*memoryLimitFraction/4), minHeldBytes),
+		MaxRequestBytes: int64(float64(s.MemoryBytes) * requestMemoryFraction),
+		RequestBytes:    requestMemoryBytes,
 	})
 	r.registry.MustRegister(append(r.gauges(), r.exchangeCounters()...)...)
 	return r
@@ -264,6 +267,8 @@
 		}, func() float64 { return 1 }),
 		gauge("shared_limits_part", "The daemon's part of limits that all daemons share.", r.members.share),
 		gauge("open_requests", "Requests that are held.", func() float64 { return float64(r.service.OpenRequests()) }),
+		gauge("body_bytes", "Bytes of requests' bodies that are held, beyond 16 KiB of each.", func() float64 { return float64(r.service.BodyBytes()) }),
+		gauge("answer_bytes", "Bytes of plain answers that are held, beyond 16 KiB of each.", func() float64 { return float64(r.service.HeldBytes()) }),
 		gauge("quarantined_parts", "Parts of prompts and requests that are kept from backend servers.", func() float64 {
 			return float64(r.quarantine.registry.Quarantined())
 		}),
