Ignore records that are older than a copy is complete to

Cause: a copy stated that it was complete up to an offset, and took an older record of a key that it didn't hold from another router's answer. Followers took over its end with that record, so that none read the removal again.

Change: one offset, completeFrom, states what a copy knows: a key that isn't held had no value there, and each change from there on is known. Records of keys that aren't held from before it are ignored, whichever way they come; a read of all keys that is as new as that is taken whole. It replaces the offset of forgotten deletions, which was a special case of it.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -45,9 +45,8 @@
 	inForce      versionedRecord // the record that is in force, with NoOffset before the first; see ReplicaConfig.InForce
 	deleted      int             // number of records that delete their keys
 	forgotten    Cursor          // the latest change whose record was dropped, see forgetDeleted
-	forgottenEnd crlid.Offset    // offset after the last record that was dropped
 	end          crlid.Offset    // offset after the last record that was read
-	completeFrom crlid.Offset    // offset from which each change of the topic is known, also the deletion of keys that were never held
+	completeFrom crlid.Offset    // a key that isn't held had no value at this offset, and each change from there to end is known
 	confirmedAt  crlclock.Instant
 	// confirmation is confirmedAt for readers without the lock: OnChange may take locks under which ConfirmedAt is called.
 	confirmation   atomic.Int64
@@ -82,7 +81,7 @@
 func (r *Replica) applyFrom(records []crlplatform.KeyedRecord, end, inForce crlid.Offset) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.apply(records, end, r.forgottenEnd, inForce)
+	r.apply(records, end, r.completeFrom, inForce)
 }
 
 // Replace merges the newest records of all keys and marks the replica as loaded. A key that is held but not among them was
@@ -106,13 +105,13 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b crlplatform.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	from := r.completeFrom
+	if end >= from {
+		from = 0 // What is present then has not been deleted before.
+	}
 	if end >= r.end {
 		r.completeFrom = end
 	}
-	from := r.forgottenEnd
-	if end >= r.forgottenEnd {
-		from = 0 // What is present then has not been deleted before.
-	}
 	r.apply(all, end, from, inForce)
 	r.loaded = true
 }
@@ -203,10 +202,9 @@
 	slices.SortFunc(deleted, func(a, b versionedRecord) int { return cmp.Compare(a.record.Offset, b.record.Offset) })
 	for _, held := range deleted[:len(deleted)/2] {
 		delete(r.records, held.record.Key)
-		r.forgotten, r.forgottenEnd = max(r.forgotten, held.change), held.record.Offset+1
+		r.forgotten, r.completeFrom = max(r.forgotten, held.change), max(r.completeFrom, held.record.Offset+1)
 		r.deleted--
 	}
-	r.completeFrom = max(r.completeFrom, r.forgottenEnd)
 }
 
 // Confirm records that the replica held all records that the topic had at the given moment.
