Read the runs of a handover in two steps

Three readings of an answer stood in one switch: of a router that states its runs, of a stream, and of a router of an earlier version. The latter has its own function now.

--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -22,7 +22,8 @@
 
 // Headers between routers. They are removed from what callers and backend servers send.
 const (
-	headerRuns     = "Cranberrylock-Runs"      // sends after which a server may have started to execute the request: all so far in a request, those of the router in an answer
+	// headerRuns states after how many sends a server may have started to execute the request: in a request, all before; in an answer, those of the router.
+	headerRuns     = "Cranberrylock-Runs"
 	headerRunLimit = "Cranberrylock-Run-Limit" // of a request: number of such sends, in all, that the receiving router must not exceed
 	headerRefusal  = "Cranberrylock-Refusal"   // of an answer: the reason of the receiving router's own refusal
 )
@@ -231,17 +232,23 @@
 
 // runsOfHandover returns how often another router, which was granted a number of runs, may have run the request when its answer has ended.
 func (x *exchange) runsOfHandover(response *http.Response, granted int) int {
+	isRefusal := response.Header.Get(headerRefusal) != ""
 	runs, err := strconv.Atoi(response.Header.Get(headerRuns))
-	switch isRefusal := response.Header.Get(headerRefusal) != ""; {
-	case err != nil && isRefusal && response.StatusCode != http.StatusBadGateway && response.StatusCode != http.StatusGatewayTimeout:
-		return 0
-	case err != nil || runs < 0:
-		return max(x.route.Attempts-x.runs, 1) // A router of an earlier version observes no limit but the route's.
-	case !isRefusal && x.isStream(response):
+	if err != nil || runs < 0 {
+		return x.unstatedRuns(response.StatusCode, isRefusal)
+	}
+	if !isRefusal && x.isStream(response) {
 		return max(runs, granted) // The other router may send the request again when the stream breaks off.
-	default:
-		return runs
 	}
+	return runs
+}
+
+// unstatedRuns returns how often a router of an earlier version may have run the request, which doesn't state it and observes no limit but the route's.
+func (x *exchange) unstatedRuns(status int, isRefusal bool) int {
+	if isRefusal && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
+		return 0
+	}
+	return max(x.route.Attempts-x.runs, 1)
 }
 
 // isStream reports whether a response is the request's stream, rather than a plain answer.
--- a/crlforward/held.go
+++ b/crlforward/held.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 )
 
-// freeHeldBytes is the part of each plain answer, and of each request's body, that is held without being counted. It fits into the memory that is reckoned for an open
-// request.
+// freeHeldBytes is the part of each plain answer, and of each request's body, that is held without being counted. It fits into the memory that is
+// reckoned for an open request.
 const freeHeldBytes = 16 << 10
 
 // heldBytes counts the bytes of plain answers or of requests' bodies that are held, beyond freeHeldBytes of each.
