--- a/crlforward/comparison_test.go
+++ b/crlforward/comparison_test.go
@@ -59,7 +59,7 @@
 			Server: crlid.Server(id), Service: "app", Address: fmt.Sprintf("10.0.1.%d:1", n), Domain: "near", Version: "v2",
 		}, c.now())
 	}
-	c.service.config.Rollouts.AddOrder(crlrollout.Order{Service: "app", Target: "v2", Duration: 24 * time.Second, Offset: 1}, false, c.now())
+	c.service.config.Rollouts.AddOrder(crlrollout.Order{Service: "app", Target: "v2", Duration: 24 * time.Second, Position: crlid.Position{Offset: 1}}, false, c.now())
 	for n := range 24 * 33 {
 		go c.call(context.Background(), "/once/1", map[string]string{"X-Request": fmt.Sprint("r", n)})
 		time.Sleep(30 * time.Millisecond)
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -120,5 +120,6 @@
 func (s *Service) logVersionMarkedBad(x *exchange, pick *crlfleet.Pick) {
 	s.config.Log.Event(EventVersionMarkedBad,
 		slog.String("request", string(x.head.Request)), slog.String("service", string(x.service.Name)),
-		slog.String("version", string(pick.Version)), slog.Int64("order", int64(x.rolloutPlan.OrderOffset)))
+		slog.String("version", string(pick.Version)), slog.Int64("order", int64(x.rolloutPlan.OrderPosition.Offset)),
+		slog.Int64("era", int64(x.rolloutPlan.OrderPosition.Era)))
 }
--- a/crlid/id.go
+++ b/crlid/id.go
@@ -55,7 +55,7 @@
 // Stream is the name of a stream of the platform's log.
 type Stream string
 
-// Offset is the position of an append in a log stream or in a topic of the platform's metadata store, counted from 0.
+// Offset counts the appends to a log stream from 0, or those to a topic of the platform's metadata store in one era; see [Position].
 type Offset int64
 
 // NoOffset is smaller than the offset of every append. It stands for the absence of an offset.
--- a/crlplatform/keyed.go
+++ b/crlplatform/keyed.go
@@ -8,29 +8,30 @@
 
 // KeyedRecord is one record of a keyed topic: a topic that retains the newest record of each key.
 type KeyedRecord struct {
-	Key     string
-	Value   []byte
-	Deleted bool // the record deletes its key
-	Offset  crlid.Offset
+	Key      string
+	Value    []byte
+	Deleted  bool // the record deletes its key
+	Position crlid.Position
 }
 
 // KeyedPage is the reply to a read of a keyed topic.
 type KeyedPage struct {
 	Records []KeyedRecord
-	End     crlid.Offset // offset that the next record will get
-	Bytes   int          // size of the encoded reply
+	End     crlid.Position // position that the next record will get, in the era in which the store replied
+	Bytes   int            // size of the encoded reply
 }
 
-// KeyedRead asks for the records of a keyed topic from an offset on.
+// KeyedRead asks for the records of a keyed topic from a position on. A store in another era than that of the position answers with the records from
+// its offset in that era, as the end of the page then states.
 type KeyedRead struct {
-	From crlid.Offset
+	From crlid.Position
 	Wait time.Duration // how long the store may delay the reply while it has no new record
 }
 
 // Conflict is the error of a conditional append that found the topic with another end than expected. Nothing was
 // appended.
 type Conflict struct {
-	End crlid.Offset // actual end of the topic
+	End crlid.Position // actual end of the topic
 }
 
 // Error describes the conflict.
@@ -48,6 +49,7 @@
 
 // Membership is the reply to a Join.
 type Membership struct {
+	Era        crlid.Era   // era of the store in which the generation is counted
 	Generation int64       // number of the group's present set of members
 	Partitions []Partition // partitions that the member owns
 }
--- a/crlrelay/exchange_test.go
+++ b/crlrelay/exchange_test.go
@@ -58,7 +58,7 @@
 		Self: crlid.Incarnation(id), Replicas: map[Topic]*Replica{testTopic: d.replica}, Roster: func() Roster { return d.roster }, Now: now,
 		Exchange: exchange,
 	})
-	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
+	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
 	go confirmPeriodically(ctx, d)
 	return d, exchange
 }
@@ -134,8 +134,8 @@
 func TestFollowerHoldsNoLockWhenItCalls(t *testing.T) {
 	now := crlclock.NewMonotonic()
 	d := newDaemon("b1", now)
-	d.replica.Replace(nil, 0)
-	d.replica.Confirm(now())
+	d.replica.Replace(nil, at(0))
+	d.replica.Confirm(now(), 0)
 	f := newFollower(d, newNetwork(nil), "b", "a", "b")
 	f.config.Exchange = &callingExchange{follower: f}
 	f.config.StoreFailing = func() bool { return f.Count() == 0 }
@@ -172,8 +172,8 @@
 		now := crlclock.NewMonotonic()
 		d := newDaemon("a1", now)
 		d.server.config.Exchange = &lateExchange{now: now}
-		d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
-		d.replica.Confirm(now())
+		d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
+		d.replica.Confirm(now(), 0)
 		first, err := d.server.Follow(t.Context(), FollowRequest{})
 		if err != nil {
 			t.Fatal(err)
--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -106,12 +106,12 @@
 	return f.roster
 }
 
-// UpdateRoster replaces the roster unless the current one has a later generation. Within a generation the last call wins, as
+// UpdateRoster replaces the roster unless the current one is of a later era or generation. Within a generation the last call wins, as
 // readers list the roster repeatedly while the store reassigns partitions.
 func (f *Follower) UpdateRoster(roster Roster) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if roster.Generation >= f.roster.Generation {
+	if !roster.isBefore(f.roster) {
 		f.roster = roster
 		f.roster.prepare(f.config.Self.Address)
 		f.place = findPlace(f.roster, f.seeds, f.config.Self)
@@ -213,7 +213,7 @@
 // nextSource returns the source to call next, false if there is none or this daemon needs none.
 func (f *Follower) nextSource() (Member, bool) {
 	// These take locks whose holders may call the exported methods of f, so f.mu must not be held.
-	upToDate := f.ownFreshUntil() > f.config.Now() && !f.config.StoreFailing()
+	upToDate := f.ownFreshUntil() > f.config.Now() && !f.config.StoreFailing() && !f.restoring()
 	pending := f.config.Exchange.Pending()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -228,6 +228,16 @@
 	return f.selectSource(), true
 }
 
+// restoring reports whether the store may lack records that other daemons still have, as it came back from an older copy.
+func (f *Follower) restoring() bool {
+	for _, replica := range f.config.Replicas {
+		if replica.Restoring() {
+			return true
+		}
+	}
+	return false
+}
+
 // ownFreshUntil returns until when the confirmations of all this daemon's replicas are within MaxAge.
 func (f *Follower) ownFreshUntil() crlclock.Instant {
 	until := crlclock.Instant(math.MaxInt64)
@@ -254,11 +264,14 @@
 	wait, limit := f.callTimes()
 	ctx, stop := withLimit(ctx, limit)
 	defer stop()
-	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, FollowRequest{
-		Source: f.incarnation, Cursors: f.cursors, Ends: f.ends(), InForce: f.inForce(), MaxWait: Milliseconds(wait.Milliseconds()), RosterDigest: f.Roster().digest(),
+	request := FollowRequest{
+		Source: f.incarnation, Cursors: f.cursors, MaxWait: Milliseconds(wait.Milliseconds()), RosterDigest: f.Roster().digest(),
 		Self: f.selfWithoutRoster(), Roster: f.rosterForSource(), Exchange: f.config.Exchange.Request(isNew), Await: f.await(), Decompresses: true,
 		Unpacks: true, LargeFleet: f.inLargeFleet(),
-	}, &response)
+	}
+	request.Ends, request.Eras = splitPositions(f.ends())
+	request.InForce, request.InForceEras = splitPositions(f.inForce())
+	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, request, &response)
 	if err != nil {
 		f.cause = err.Error()
 		f.countStall(err)
@@ -271,7 +284,7 @@
 		f.exchangedWith = response.Source
 	}
 	f.incarnation = response.Source // A source with another incarnation has ignored the cursors and sent all records.
-	f.sourceBehind = response.Roster != nil && response.Roster.Generation < f.Roster().Generation
+	f.sourceBehind = response.Roster != nil && response.Roster.isBefore(f.Roster())
 	if response.Roster != nil {
 		f.UpdateRoster(*response.Roster)
 	}
@@ -344,9 +357,9 @@
 	return &roster
 }
 
-// ends returns the offsets up to which this daemon's loaded replicas are complete.
-func (f *Follower) ends() map[Topic]crlid.Offset {
-	ends := make(map[Topic]crlid.Offset, len(f.config.Replicas))
+// ends returns the positions up to which this daemon's loaded replicas are complete.
+func (f *Follower) ends() map[Topic]crlid.Position {
+	ends := make(map[Topic]crlid.Position, len(f.config.Replicas))
 	for topic, replica := range f.config.Replicas {
 		if replica.Loaded() {
 			ends[topic] = replica.End()
@@ -355,12 +368,13 @@
 	return ends
 }
 
-// inForce returns the offsets of the records that are in force at this daemon, by topics that have such records, so that no source sends a large one of them again.
-func (f *Follower) inForce() map[Topic]crlid.Offset {
-	inForce := make(map[Topic]crlid.Offset)
+// inForce returns the positions of the records that are in force at this daemon, by topics that have such records, so that no source sends a large one
+// of them again.
+func (f *Follower) inForce() map[Topic]crlid.Position {
+	inForce := make(map[Topic]crlid.Position)
 	for topic, replica := range f.config.Replicas {
-		if offset, ok := replica.offsetInForce(); ok {
-			inForce[topic] = offset
+		if position, ok := replica.positionInForce(); ok {
+			inForce[topic] = position
 		}
 	}
 	return inForce
@@ -384,19 +398,12 @@
 		if !ok || delta.ConfirmationAge < 0 {
 			continue
 		}
-		records, err := delta.decodeAll()
-		if err != nil {
-			f.cause = err.Error()
+		confirmedAt := f.confirmedAt(sentAt, response.HeldFor, delta.ConfirmationAge)
+		if err := delta.applyTo(replica, confirmedAt); err != nil {
+			f.cause = fmt.Sprintf("%s: %v", topic, err)
 			return false
 		}
-		if delta.Full {
-			replica.replaceFrom(records, delta.End, delta.inForce())
-		} else {
-			replica.applyFrom(records, delta.End, delta.inForce())
-		}
 		f.cursors[topic] = delta.Cursor
-		confirmedAt := f.confirmedAt(sentAt, response.HeldFor, delta.ConfirmationAge)
-		replica.Confirm(confirmedAt)
 		if replica.config.Optional {
 			continue
 		}
--- a/crlrelay/pack.go
+++ b/crlrelay/pack.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 
+	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
 )
 
@@ -19,6 +20,7 @@
 // pack is all records of a topic as of a change, encoded once for all followers that need the whole topic.
 type pack struct {
 	mu     sync.Mutex // guards the fields below, and makes followers that call at the same time wait for one pack
+	era    crlid.Era  // of the messages that the packed records are for
 	cursor Cursor     // the change up to which the records are packed, 0 for none
 	packed []byte
 	keys   map[string]bool // of the packed records
@@ -32,18 +34,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	since := d.changedAfter(p.cursor)
-	if p.cursor == 0 || len(since) >= repackFromChanges || !p.isHeldBy(d) {
+	if p.cursor == 0 || p.era != d.end.Era || len(since) >= repackFromChanges || !p.isHeldBy(d) {
 		packed := packRecords(d.messages(false))
 		if packed == nil {
 			return
 		}
-		p.cursor, p.packed, p.keys, since = d.cursor, packed, make(map[string]bool, len(d.records)), nil
+		p.era, p.cursor, p.packed, p.keys, since = d.end.Era, d.cursor, packed, make(map[string]bool, len(d.records)), nil
 		for _, r := range d.records {
 			p.keys[r.record.Key] = true
 		}
 	}
 	message.Packed = p.packed
-	message.Records = (&delta{records: since}).messages(true)
+	message.Records = (&delta{records: since, end: d.end}).messages(true)
 }
 
 // isHeldBy reports whether a delta has a record for each packed one. It doesn't if a deletion since is forgotten, and a follower would keep the deleted key.
@@ -69,7 +71,7 @@
 // decodeAll returns the records of a message, packed or not.
 func (t TopicDelta) decodeAll() ([]crlplatform.KeyedRecord, error) {
 	if t.Packed == nil {
-		return decodeRecords(t.Records)
+		return decodeRecords(t.Records, t.era())
 	}
 	text, err := decompress(t.Packed)
 	if err != nil {
@@ -79,7 +81,7 @@
 	if err := json.Unmarshal(text, &packed); err != nil {
 		return nil, fmt.Errorf("decode packed records: %w", err)
 	}
-	return decodeRecords(append(packed, t.Records...))
+	return decodeRecords(append(packed, t.Records...), t.era())
 }
 
 // changedAfter returns the records that changed after a cursor.
--- a/crlrelay/pack_test.go
+++ b/crlrelay/pack_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.replica.Replace(records, delta.End)
+	d.replica.Replace(records, at(delta.End))
 	return d.contents()
 }
 
@@ -53,9 +53,9 @@
 			records = append(records, record(fmt.Sprint("server-", n), next, value))
 			next++
 		}
-		source.replica.Apply(records, next)
+		source.replica.Apply(records, at(next))
 	}
-	source.replica.Replace(nil, 0)
+	source.replica.Replace(nil, at(0))
 	change(0, servers, `{"zone":"d1","version":"7","slots":32,"state":"in"}`)
 	first := packedReply(t, source, true)
 	for _, c := range []struct {
--- a/crlrelay/record.go
+++ b/crlrelay/record.go
@@ -14,10 +14,12 @@
 
 // Record is a record of the store in messages.
 type Record struct {
-	Key     string       `json:"key"`
-	Offset  crlid.Offset `json:"offset"`
-	Deleted bool         `json:"deleted,omitempty"` // the record deletes its key
-	Value   []byte       `json:"value,omitempty"`
+	Key    string       `json:"key"`
+	Offset crlid.Offset `json:"offset"`
+	// ErasBack is how many eras before that of the message the record is from: it stays in force although the store has lost it.
+	ErasBack crlid.Era `json:"eras-back,omitempty"`
+	Deleted  bool      `json:"deleted,omitempty"` // the record deletes its key
+	Value    []byte    `json:"value,omitempty"`
 	// Compressed reports whether Value is compressed by DEFLATE.
 	Compressed bool `json:"compressed,omitempty"`
 }
@@ -35,9 +37,9 @@
 	value []byte // nil if the value doesn't become smaller
 }
 
-// encodeRecord returns the message of a record; compressed holds the compressed form for all that it is sent to.
-func encodeRecord(r crlplatform.KeyedRecord, compressed *compressedValue) Record {
-	message := Record{Key: r.Key, Offset: r.Offset, Deleted: r.Deleted, Value: r.Value}
+// encodeRecord returns the record of a message of the given era; compressed holds the compressed form for all that it is sent to.
+func encodeRecord(r crlplatform.KeyedRecord, era crlid.Era, compressed *compressedValue) Record {
+	message := Record{Key: r.Key, Offset: r.Position.Offset, ErasBack: era - r.Position.Era, Deleted: r.Deleted, Value: r.Value}
 	if len(r.Value) < compressFromBytes || compressed == nil {
 		return message
 	}
@@ -66,9 +68,11 @@
 
 var errValueSize = errors.New("value is too large")
 
-// decodeRecord returns the record of a message.
-func decodeRecord(message Record) (crlplatform.KeyedRecord, error) {
-	r := crlplatform.KeyedRecord{Key: message.Key, Offset: message.Offset, Deleted: message.Deleted, Value: message.Value}
+// decodeRecord returns the record of a message of the given era.
+func decodeRecord(message Record, era crlid.Era) (crlplatform.KeyedRecord, error) {
+	r := crlplatform.KeyedRecord{
+		Key: message.Key, Position: crlid.Position{Era: era - max(message.ErasBack, 0), Offset: message.Offset}, Deleted: message.Deleted, Value: message.Value,
+	}
 	if !message.Compressed {
 		return r, nil
 	}
@@ -89,11 +93,11 @@
 	return value, err
 }
 
-// decodeRecords returns the records of messages.
-func decodeRecords(messages []Record) ([]crlplatform.KeyedRecord, error) {
+// decodeRecords returns the records of a message of the given era.
+func decodeRecords(messages []Record, era crlid.Era) ([]crlplatform.KeyedRecord, error) {
 	records := make([]crlplatform.KeyedRecord, 0, len(messages))
 	for _, m := range messages {
-		r, err := decodeRecord(m)
+		r, err := decodeRecord(m, era)
 		if err != nil {
 			return nil, err
 		}
--- a/crlrelay/record_test.go
+++ b/crlrelay/record_test.go
@@ -38,10 +38,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		unit := rapid.SliceOfN(rapid.Byte(), 1, 200).Draw(t, "unit")
 		sent := crlplatform.KeyedRecord{
-			Key: rapid.String().Draw(t, "key"), Offset: 7, Value: bytes.Repeat(unit, rapid.IntRange(1, 2000).Draw(t, "times")),
+			Key: rapid.String().Draw(t, "key"), Position: at(7), Value: bytes.Repeat(unit, rapid.IntRange(1, 2000).Draw(t, "times")),
 		}
-		message := transfer(t, encodeRecord(sent, new(compressedValue)))
-		got, err := decodeRecord(message)
+		message := transfer(t, encodeRecord(sent, 0, new(compressedValue)))
+		got, err := decodeRecord(message, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -78,8 +78,13 @@
 // TestRecordsOfEarlierVersionsAreUnderstood guards against a daemon that can't follow one of an earlier version, whose records have other
 // names of fields, while VMs are updated one by one.
 func TestRecordsOfEarlierVersionsAreUnderstood(t *testing.T) {
-	want := crlplatform.KeyedRecord{Key: "config", Value: []byte("{}"), Offset: 3}
-	got, err := decodeRecord(transfer(t, want))
+	want := crlplatform.KeyedRecord{Key: "config", Value: []byte("{}"), Position: at(3)}
+	got, err := decodeRecord(transfer(t, struct {
+		Key     string
+		Value   []byte
+		Deleted bool
+		Offset  int64
+	}{want.Key, want.Value, want.Deleted, 3}), 0)
 	if err != nil || !cmp.Equal(got, want) {
 		t.Errorf("got %+v and error %v, want %+v", got, err, want)
 	}
@@ -87,11 +92,11 @@
 
 // TestDamagedRecordIsRefused guards against damaged bytes that are taken for a configuration.
 func TestDamagedRecordIsRefused(t *testing.T) {
-	whole := encodeRecord(crlplatform.KeyedRecord{Value: bytes.Repeat([]byte("configuration "), compressFromBytes)}, new(compressedValue))
+	whole := encodeRecord(crlplatform.KeyedRecord{Value: bytes.Repeat([]byte("configuration "), compressFromBytes)}, 0, new(compressedValue))
 	for name, value := range map[string][]byte{
 		"cut off": whole.Value[:len(whole.Value)/2], "no compressed data": []byte("configuration"), "empty": nil,
 	} {
-		if r, err := decodeRecord(Record{Key: "config", Value: value, Compressed: true}); err == nil {
+		if r, err := decodeRecord(Record{Key: "config", Value: value, Compressed: true}, 0); err == nil {
 			t.Errorf("%s: got a record of %d bytes, want an error", name, len(r.Value))
 		}
 	}
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -22,8 +22,11 @@
 
 const testTopic Topic = "servers"
 
+// at returns the position at an offset of a store that states no era.
+func at(offset crlid.Offset) crlid.Position { return crlid.Position{Offset: offset} }
+
 func record(key string, offset crlid.Offset, value string) crlplatform.KeyedRecord {
-	return crlplatform.KeyedRecord{Key: key, Offset: offset, Value: []byte(value), Deleted: value == ""}
+	return crlplatform.KeyedRecord{Key: key, Position: at(offset), Value: []byte(value), Deleted: value == ""}
 }
 
 // testDaemon is a replica with its server, and the values that OnChange reported for its topic.
@@ -134,7 +137,7 @@
 // confirmPeriodically confirms a replica every 500 ms until ctx ends, like a reader whose reads of the store succeed.
 func confirmPeriodically(ctx context.Context, d *testDaemon) {
 	for ctx.Err() == nil {
-		d.replica.Confirm(d.now())
+		d.replica.Confirm(d.now(), 0)
 		crlclock.Sleep(ctx, 500*time.Millisecond)
 	}
 }
@@ -148,7 +151,7 @@
 		refused, reader, other := newDaemon("a", now), newDaemon("b", now), newDaemon("c", now)
 		n := newNetwork(map[string]*testDaemon{"a": refused, "b": reader, "c": other})
 		for _, d := range []*testDaemon{refused, reader} {
-			d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
+			d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -160,7 +163,7 @@
 		time.Sleep(3 * time.Second)
 		refuseReads()
 		time.Sleep(4 * time.Second)
-		reader.replica.Apply([]crlplatform.KeyedRecord{record("s1", 1, "")}, 2)
+		reader.replica.Apply([]crlplatform.KeyedRecord{record("s1", 1, "")}, at(2))
 		time.Sleep(time.Second)
 		if other.contents() != "map[]" {
 			t.Error("a follower still holds a server one second after its entry was deleted")
@@ -181,21 +184,21 @@
 func TestDeletionsSoonAfterAnOutageAreUncertain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDaemon("a", crlclock.NewMonotonic())
-		d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in"), record("s2", 1, "in")}, 2)
-		d.replica.Confirm(d.now())
+		d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in"), record("s2", 1, "in")}, at(2))
+		d.replica.Confirm(d.now(), 0)
 		time.Sleep(4 * time.Second)
-		d.replica.Confirm(d.now())
+		d.replica.Confirm(d.now(), 0)
 		time.Sleep(time.Second)
-		d.replica.Confirm(d.now())
-		d.replica.Apply([]crlplatform.KeyedRecord{record("s1", 2, "")}, 3)
+		d.replica.Confirm(d.now(), 0)
+		d.replica.Apply([]crlplatform.KeyedRecord{record("s1", 2, "")}, at(3))
 		if !d.uncertain() {
 			t.Error("an entry deleted one second after an outage is treated as certainly gone")
 		}
 		for range 4 {
 			time.Sleep(500 * time.Millisecond)
-			d.replica.Confirm(d.now())
+			d.replica.Confirm(d.now(), 0)
 		}
-		d.replica.Apply([]crlplatform.KeyedRecord{record("s2", 3, "")}, 4)
+		d.replica.Apply([]crlplatform.KeyedRecord{record("s2", 3, "")}, at(4))
 		if d.uncertain() {
 			t.Error("an entry deleted three seconds after an outage is treated as uncertain")
 		}
@@ -211,12 +214,12 @@
 				now := crlclock.NewMonotonic()
 				reader, other := newDaemon("a", now), newDaemon("b", now)
 				reader.delay = delay
-				reader.replica.Replace(nil, 0)
+				reader.replica.Replace(nil, at(0))
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newFollower(other, newNetwork(map[string]*testDaemon{"a": reader, "b": other}), "b", "a", "x", "b")
 				go func() { _ = f.Run(ctx) }()
 				for range 50 {
-					reader.replica.Confirm(now())
+					reader.replica.Confirm(now(), 0)
 					time.Sleep(137 * time.Millisecond)
 					if reader.replica.ConfirmedAt() < other.replica.ConfirmedAt() {
 						t.Fatal("a follower's confirmation is newer than its reader's")
@@ -312,7 +315,7 @@
 		now := crlclock.NewMonotonic()
 		reader, other := newDaemon("a", now), newDaemon("b", now)
 		n := newNetwork(map[string]*testDaemon{"a": reader, "b": other})
-		reader.replica.Replace(nil, 0)
+		reader.replica.Replace(nil, at(0))
 		ctx, cancel := context.WithCancel(t.Context())
 		go confirmPeriodically(ctx, reader)
 		f := newFollower(other, n, "b", "x", "a", "b")
@@ -346,8 +349,8 @@
 		now := crlclock.NewMonotonic()
 		reader, other := newDaemon("a1", now), newDaemon("b", now)
 		n := newNetwork(map[string]*testDaemon{"a": reader})
-		reader.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in"), record("s2", 1, "in")}, 2)
-		reader.replica.Confirm(now())
+		reader.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in"), record("s2", 1, "in")}, at(2))
+		reader.replica.Confirm(now(), 0)
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newFollower(other, n, "b", "a", "x", "b")
 		go func() { _ = f.Run(ctx) }()
@@ -355,8 +358,8 @@
 		restarted := newDaemon("a2", now)
 		n.put("a", restarted)
 		time.Sleep(time.Second)
-		restarted.replica.Replace([]crlplatform.KeyedRecord{record("s2", 1, "in"), record("s3", 4, "in")}, 5)
-		restarted.replica.Confirm(now())
+		restarted.replica.Replace([]crlplatform.KeyedRecord{record("s2", 1, "in"), record("s3", 4, "in")}, at(5))
+		restarted.replica.Confirm(now(), 0)
 		time.Sleep(2 * time.Second)
 		if got := other.contents(); got != "map[s2:in s3:in]" {
 			t.Errorf("the follower holds %s, want map[s2:in s3:in]", got)
@@ -369,24 +372,24 @@
 // TestStaleRecordsAreIgnored checks that records that arrive late or twice don't overwrite newer ones.
 func TestStaleRecordsAreIgnored(t *testing.T) {
 	d := newDaemon("a", crlclock.NewMonotonic())
-	d.replica.Replace([]crlplatform.KeyedRecord{record("config", 8, "new")}, 9)
-	d.replica.Apply([]crlplatform.KeyedRecord{record("config", 3, "old")}, 4)
-	d.replica.Replace([]crlplatform.KeyedRecord{record("config", 3, "old")}, 4)
-	if d.contents() != "map[config:new]" || d.replica.End() != 9 {
-		t.Errorf("replica holds %s up to offset %d, want map[config:new] up to 9", d.contents(), d.replica.End())
+	d.replica.Replace([]crlplatform.KeyedRecord{record("config", 8, "new")}, at(9))
+	d.replica.Apply([]crlplatform.KeyedRecord{record("config", 3, "old")}, at(4))
+	d.replica.Replace([]crlplatform.KeyedRecord{record("config", 3, "old")}, at(4))
+	if d.contents() != "map[config:new]" || d.replica.End() != at(9) {
+		t.Errorf("replica holds %s up to %s, want map[config:new] up to 9", d.contents(), d.replica.End())
 	}
 }
 
 // TestUnchangedRecordsAreNotRelayed checks that records that repeat the held value, as heartbeats do, are not sent to followers.
 func TestUnchangedRecordsAreNotRelayed(t *testing.T) {
 	d := newDaemon("a", crlclock.NewMonotonic())
-	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
-	before := d.replica.since(0, crlid.NoOffset, nil)
+	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
+	before := d.replica.since(0, crlid.NoPosition, nil)
 	for n := range 100 {
-		d.replica.Apply([]crlplatform.KeyedRecord{record("s1", crlid.Offset(n+1), "in")}, crlid.Offset(n+2))
+		d.replica.Apply([]crlplatform.KeyedRecord{record("s1", crlid.Offset(n+1), "in")}, at(crlid.Offset(n+2)))
 	}
-	if after := d.replica.since(before.cursor, crlid.NoOffset, nil); len(after.records) != 0 || after.end != 101 {
-		t.Errorf("relays %d records up to offset %d, want 0 up to 101", len(after.records), after.end)
+	if after := d.replica.since(before.cursor, crlid.NoPosition, nil); len(after.records) != 0 || after.end != at(101) {
+		t.Errorf("relays %d records up to %s, want 0 up to 101", len(after.records), after.end)
 	}
 }
 
@@ -396,7 +399,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		now := crlclock.NewMonotonic()
 		reader, other := newDaemon("a", now), newDaemon("c", now)
-		reader.replica.Replace(nil, 0)
+		reader.replica.Replace(nil, at(0))
 		reader.roster = Roster{Generation: 7, Members: []Member{{Address: "a"}, {Address: "b"}, {Address: "c"}}}
 		ctx, cancel := context.WithCancel(t.Context())
 		go confirmPeriodically(ctx, reader)
@@ -445,7 +448,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				now := crlclock.NewMonotonic()
 				source, other := newDaemon("a", now), newDaemon("b", now)
-				source.replica.Replace(nil, 0)
+				source.replica.Replace(nil, at(0))
 				n := newNetwork(map[string]*testDaemon{"a": source, "b": other})
 				sourceFollower := newFollower(source, n, "a")
 				source.server = NewServer(ServerConfig{
@@ -484,11 +487,11 @@
 		source, direct, late, restarted := newDaemon("a", now), newDaemon("b", now), newDaemon("c", now), newDaemon("d", now)
 		var offset crlid.Offset
 		put := func(key, value string) {
-			source.replica.Apply([]crlplatform.KeyedRecord{record(key, offset, value)}, offset+1)
+			source.replica.Apply([]crlplatform.KeyedRecord{record(key, offset, value)}, at(offset+1))
 			offset++
 		}
 		for _, d := range []*testDaemon{source, late} {
-			d.replica.Replace([]crlplatform.KeyedRecord{record("early", 0, "in"), record("kept", 1, "in")}, 2)
+			d.replica.Replace([]crlplatform.KeyedRecord{record("early", 0, "in"), record("kept", 1, "in")}, at(2))
 		}
 		offset = 2
 		follow := func(d *testDaemon, cursors map[Topic]Cursor, ends map[Topic]crlid.Offset) Cursor {
@@ -497,14 +500,14 @@
 				t.Fatal(err)
 			}
 			delta := response.Topics[testTopic]
-			records, err := decodeRecords(delta.Records)
+			records, err := decodeRecords(delta.Records, 0)
 			if err != nil {
 				t.Fatal(err)
 			}
 			if delta.Full {
-				d.replica.Replace(records, delta.End)
+				d.replica.Replace(records, at(delta.End))
 			} else {
-				d.replica.Apply(records, delta.End)
+				d.replica.Apply(records, at(delta.End))
 			}
 			return delta.Cursor
 		}
@@ -520,7 +523,7 @@
 		follow(direct, map[Topic]Cursor{testTopic: cursor}, nil)
 		follow(late, nil, map[Topic]crlid.Offset{testTopic: 2})
 		follow(restarted, nil, nil)
-		source.replica.Apply([]crlplatform.KeyedRecord{record("early", 0, "in")}, 1) // An old record that arrives late.
+		source.replica.Apply([]crlplatform.KeyedRecord{record("early", 0, "in")}, at(1)) // An old record that arrives late.
 		for name, d := range map[string]*testDaemon{"source": source, "follower": direct, "follower without cursor": late, "new follower": restarted} {
 			if got := d.contents(); got != "map[kept:in]" {
 				t.Errorf("%s holds %s, want only the key that was not deleted", name, got)
@@ -546,11 +549,11 @@
 					replicas[optionalTopic] = newOptional()
 				}
 				if name == "loaded, never confirmed again" {
-					replicas[optionalTopic].Replace(nil, 0)
-					replicas[optionalTopic].Confirm(now())
+					replicas[optionalTopic].Replace(nil, at(0))
+					replicas[optionalTopic].Confirm(now(), 0)
 				}
 				reader.server = NewServer(ServerConfig{Self: "a", Replicas: replicas, Roster: func() Roster { return Roster{} }, Now: now})
-				reader.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, 1)
+				reader.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
 				n := newNetwork(map[string]*testDaemon{"a": reader, "b": other})
 				f := newFollower(other, n, "b", "a", "x", "b")
 				f.config.Replicas[optionalTopic] = newOptional()
@@ -585,40 +588,40 @@
 // TestRecordInForceIsSentOnce guards against sending a large configuration again to followers that have it: a refused newer record, as of an older
 // configuration, stays the newest of the key, so that the one in force is sent beside it.
 func TestRecordInForceIsSentOnce(t *testing.T) {
-	inForce := crlid.NoOffset
+	inForce := crlid.NoPosition
 	source := NewReplica(ReplicaConfig{
-		Now: crlclock.NewMonotonic(), InForce: func() crlid.Offset { return inForce },
+		Now: crlclock.NewMonotonic(), InForce: func() crlid.Position { return inForce },
 		OnChange: func(records []crlplatform.KeyedRecord, _ crlclock.Instant) {
 			for _, r := range records {
 				if string(r.Value) == "accepted" {
-					inForce = r.Offset
+					inForce = r.Position
 				}
 			}
 		},
 	})
-	source.Replace([]crlplatform.KeyedRecord{record("config", 2, "accepted")}, 3)
-	known := source.since(0, crlid.NoOffset, nil).cursor
-	source.Apply([]crlplatform.KeyedRecord{record("config", 3, "refused")}, 4)
-	latest := source.since(0, crlid.NoOffset, nil).cursor
-	none, same := crlid.NoOffset, crlid.Offset(2)
+	source.Replace([]crlplatform.KeyedRecord{record("config", 2, "accepted")}, at(3))
+	known := source.since(0, crlid.NoPosition, nil).cursor
+	source.Apply([]crlplatform.KeyedRecord{record("config", 3, "refused")}, at(4))
+	latest := source.since(0, crlid.NoPosition, nil).cursor
+	none, same := crlid.NoPosition, at(2)
 	for _, c := range []struct {
 		name    string
 		after   Cursor
-		end     crlid.Offset
-		inForce *crlid.Offset
+		end     crlid.Position
+		inForce *crlid.Position
 		want    string
 	}{
-		{"a new follower", 0, crlid.NoOffset, &none, "[2 3]"},
-		{"a new follower of an earlier version", 0, crlid.NoOffset, nil, "[3]"},
-		{"one that follows", known, 3, &same, "[3]"},
-		{"one that follows and refused the record in force", known, 3, &none, "[3]"},
-		{"one that has everything", latest, 4, &same, "[]"},
-		{"one with the refused record from elsewhere", 0, 4, &none, "[2]"},
-		{"one with both from elsewhere", 0, 4, &same, "[]"},
+		{"a new follower", 0, crlid.NoPosition, &none, "[2 3]"},
+		{"a new follower of an earlier version", 0, crlid.NoPosition, nil, "[3]"},
+		{"one that follows", known, at(3), &same, "[3]"},
+		{"one that follows and refused the record in force", known, at(3), &none, "[3]"},
+		{"one that has everything", latest, at(4), &same, "[]"},
+		{"one with the refused record from elsewhere", 0, at(4), &none, "[2]"},
+		{"one with both from elsewhere", 0, at(4), &same, "[]"},
 	} {
-		offsets := []crlid.Offset{}
+		offsets := []crlid.Position{}
 		for _, r := range source.since(c.after, c.end, c.inForce).records {
-			offsets = append(offsets, r.record.Offset)
+			offsets = append(offsets, r.record.Position)
 		}
 		if got := fmt.Sprint(offsets); got != c.want {
 			t.Errorf("%s gets the records %s, want %s", c.name, got, c.want)
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -1,7 +1,6 @@
 package crlrelay
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,9 +30,12 @@
 	// Same reports whether a record changes nothing for followers compared with the one before it; if nil, every record is
 	// a change.
 	Same func(before, after crlplatform.KeyedRecord) bool
-	// InForce returns the offset of the record that is in force when OnChange may refuse newer records of its key, [crlid.NoOffset] for none. Followers get
-	// that record too, as they would put in force what comes after it. It is called after OnChange, with the replica's lock held; nil if no record is refused.
-	InForce func() crlid.Offset
+	// InForce returns the position of the record that is in force when OnChange may refuse newer records of its key, [crlid.NoPosition] for none. Followers
+	// get that record too, as they would put in force what comes after it. It is called after OnChange, with the replica's lock held; nil if no record is
+	// refused.
+	InForce func() crlid.Position
+	// Restoration applies when the store comes back from an older copy.
+	Restoration RestorationConfig
 }
 
 // Replica holds the newest record of each key of a topic; it may be used by several goroutines.
@@ -42,11 +44,12 @@
 	mu           sync.Mutex // guards all below, and serialises the calls of OnChange
 	records      map[string]versionedRecord
 	lastChange   Cursor
-	inForce      versionedRecord // the record that is in force, with NoOffset before the first; see ReplicaConfig.InForce
+	inForce      versionedRecord // the record that is in force, with NoPosition before the first; see ReplicaConfig.InForce
 	deleted      int             // number of records that delete their keys
-	forgotten    Cursor          // the latest change whose record was dropped, see forgetDeleted
-	end          crlid.Offset    // offset after the last record that was read
-	completeFrom crlid.Offset    // a key that isn't held had no value at this offset, and each change from there to end is known
+	forgotten    Cursor          // the latest change whose record was dropped, see forgetDeleted, or whose position is of an earlier era
+	end          crlid.Position  // position after the last record that was read
+	completeFrom crlid.Position  // a key that isn't held had no value at this position, and each change from there to end is known
+	restoration  restoration
 	confirmedAt  crlclock.Instant
 	// confirmation is confirmedAt for readers without the lock: OnChange may take locks under which ConfirmedAt is called.
 	confirmation   atomic.Int64
@@ -61,99 +64,162 @@
 	record     crlplatform.KeyedRecord
 	change     Cursor
 	compressed *compressedValue
+	last       []byte // the value that a deleted key had; see RestorationConfig.Order
 }
 
 // NewReplica returns an empty Replica, which counts as not loaded.
 func NewReplica(config ReplicaConfig) *Replica {
 	return &Replica{
-		config: config, records: make(map[string]versionedRecord), inForce: versionedRecord{record: crlplatform.KeyedRecord{Offset: crlid.NoOffset}},
-		end: crlid.NoOffset, changed: make(chan struct{}), confirmed: make(chan struct{}),
+		config: config, records: make(map[string]versionedRecord), inForce: versionedRecord{record: crlplatform.KeyedRecord{Position: crlid.NoPosition}},
+		end: crlid.NoPosition, changed: make(chan struct{}), confirmed: make(chan struct{}),
 	}
 }
 
-// Apply merges records that follow each other in the topic; end is the offset at which the topic ended when they were read.
-// Records no newer than the one held for their key are ignored, so records may arrive late or twice.
-func (r *Replica) Apply(records []crlplatform.KeyedRecord, end crlid.Offset) {
-	r.applyFrom(records, end, crlid.NoOffset)
+// Apply merges records that follow each other in the topic; end is the position at which the topic ended when they were read.
+// Records no newer than the one held for their key are ignored, so records may arrive late or twice. Apply returns false, and ignores all of
+// them, if they were read in another era than that of the replica.
+func (r *Replica) Apply(records []crlplatform.KeyedRecord, end crlid.Position) bool {
+	return r.applyFrom(records, end, crlid.NoPosition)
 }
 
-// applyFrom merges records as Apply does. inForce is the offset of the record among them that is in force at their source, [crlid.NoOffset] for none.
-func (r *Replica) applyFrom(records []crlplatform.KeyedRecord, end, inForce crlid.Offset) {
+// applyFrom merges records as Apply does. inForce is the position of the record among them that is in force at their source, [crlid.NoPosition] for
+// none.
+func (r *Replica) applyFrom(records []crlplatform.KeyedRecord, end, inForce crlid.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.end != crlid.NoPosition && end.Era != r.end.Era {
+		return false
+	}
 	r.apply(records, end, r.completeFrom, inForce)
+	return true
 }
 
 // Replace merges the newest records of all keys and marks the replica as loaded. A key that is held but not among them was
-// deleted before the topic's end, unless its record is newer than that.
-func (r *Replica) Replace(records []crlplatform.KeyedRecord, end crlid.Offset) {
-	r.replaceFrom(records, end, crlid.NoOffset)
+// deleted before the topic's end, unless its record is newer than that, or of an earlier era and stays in force; see RestorationConfig. Replace
+// returns false, and ignores the records, if they were read in an earlier era than that of the replica.
+func (r *Replica) Replace(records []crlplatform.KeyedRecord, end crlid.Position) bool {
+	return r.replaceFrom(records, nil, end, crlid.NoPosition)
 }
 
-// replaceFrom merges records as Replace does; inForce is as in applyFrom.
-func (r *Replica) replaceFrom(records []crlplatform.KeyedRecord, end, inForce crlid.Offset) {
+// replaceFrom merges records as Replace does; lost is what the store has of those of them that it has lost, see delta, and inForce is as in applyFrom.
+func (r *Replica) replaceFrom(records, lost []crlplatform.KeyedRecord, end, inForce crlid.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if end.Era < r.end.Era {
+		return false
+	}
+	if r.loaded && end.Era > r.end.Era {
+		r.beginRestoration(end)
+	}
 	present := make(map[string]bool, len(records))
 	for _, record := range records {
 		present[record.Key] = true
 	}
 	all := slices.Clone(records)
 	for key, held := range r.records {
-		if !present[key] && !held.record.Deleted && held.record.Offset < end {
-			all = append(all, crlplatform.KeyedRecord{Key: key, Deleted: true, Offset: end - 1})
+		if present[key] || held.record.Deleted || !held.record.Position.Before(end) {
+			continue
+		}
+		deletion := crlplatform.KeyedRecord{Key: key, Deleted: true, Position: end.Previous()}
+		if held.record.Position.Era < end.Era && r.keepsLost() {
+			r.restoration.pending[key] = deletion
+		} else {
+			all = append(all, deletion)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b crlplatform.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortStableFunc(all, func(a, b crlplatform.KeyedRecord) int { return a.Position.Compare(b.Position) })
 	from := r.completeFrom
-	if end >= from {
-		from = 0 // What is present then has not been deleted before.
+	if !end.Before(from) {
+		from = crlid.Position{} // What is present then has not been deleted before.
 	}
-	if end >= r.end {
+	if !end.Before(r.end) {
 		r.completeFrom = end
 	}
 	r.apply(all, end, from, inForce)
+	r.addPending(lost, end)
 	r.loaded = true
+	return true
 }
 
 // apply merges records as Apply does, passes those that changed something to OnChange, and releases waiting followers. It ignores records of keys
-// that aren't held from before the offset from: they may have been deleted since. The record that is in force at the source is passed to OnChange
+// that aren't held from before the position from: they may have been deleted since. The record that is in force at the source is passed to OnChange
 // even if a newer one of its key is held, as that may be one that the source has refused.
-func (r *Replica) apply(records []crlplatform.KeyedRecord, end, from, inForce crlid.Offset) {
-	var changed []crlplatform.KeyedRecord
+func (r *Replica) apply(records []crlplatform.KeyedRecord, end, from, inForce crlid.Position) {
+	var changed, restated []crlplatform.KeyedRecord
 	for _, record := range records {
 		before, ok := r.records[record.Key]
-		if ok && record.Offset <= before.record.Offset || !ok && record.Offset < from {
-			if r.config.InForce != nil && record.Offset == inForce && record.Offset != r.inForce.record.Offset {
+		if ok && !before.record.Position.Before(record.Position) || !ok && record.Position.Before(from) {
+			if r.config.InForce != nil && record.Position == inForce && record.Position != r.inForce.record.Position {
 				changed = append(changed, record)
 			}
 			continue
 		}
+		if ok && before.record.Position.Era < record.Position.Era {
+			switch r.restore(before, record) {
+			case restorationKept:
+				continue
+			case restorationRestated:
+				r.set(record, before)
+				restated = append(restated, record)
+				continue
+			case restorationChanged:
+			}
+		}
 		same := ok && r.config.Same != nil && !record.Deleted && !before.record.Deleted && r.config.Same(before.record, record)
 		if same {
+			delete(r.restoration.pending, record.Key)
 			r.records[record.Key] = versionedRecord{record: record, change: before.change, compressed: new(compressedValue)}
 			continue
 		}
-		r.lastChange++
-		if record.Deleted {
-			r.deleted++
-		}
-		if ok && before.record.Deleted {
-			r.deleted--
-		}
-		r.records[record.Key] = versionedRecord{record: record, change: r.lastChange, compressed: new(compressedValue)}
+		r.set(record, before)
 		changed = append(changed, record)
 	}
-	r.end = max(r.end, end)
-	if len(changed) == 0 {
+	r.end = r.end.Latest(end)
+	r.publish(changed, restated)
+}
+
+// set makes a record the newest one of its key, after the given one.
+func (r *Replica) set(record crlplatform.KeyedRecord, before versionedRecord) {
+	r.lastChange++
+	held := versionedRecord{record: record, change: r.lastChange, compressed: new(compressedValue)}
+	if record.Deleted {
+		r.deleted++
+		if r.config.Restoration.Order != nil {
+			held.last = before.lastValue()
+		}
+	}
+	if before.record.Deleted {
+		r.deleted--
+	}
+	r.records[record.Key] = held
+	delete(r.restoration.pending, record.Key)
+}
+
+// lastValue returns the value of the record, or the one that its key had before it was deleted.
+func (v versionedRecord) lastValue() []byte {
+	if v.record.Deleted {
+		return v.last
+	}
+	return v.record.Value
+}
+
+// publish passes records to OnChange and OnRestated, and releases waiting followers.
+func (r *Replica) publish(changed, restated []crlplatform.KeyedRecord) {
+	if len(restated) > 0 && r.config.Restoration.OnRestated != nil {
+		r.config.Restoration.OnRestated(restated)
+		r.noteInForce(restated)
+	}
+	if len(changed) == 0 && len(restated) == 0 {
 		return
 	}
 	if r.deleted > maxDeleted {
 		r.forgetDeleted()
 	}
-	r.noteOutage(r.config.Now())
-	r.config.OnChange(changed, r.uncertainUntil)
-	r.noteInForce(changed)
+	if len(changed) > 0 {
+		r.noteOutage(r.config.Now())
+		r.config.OnChange(changed, r.uncertainUntil)
+		r.noteInForce(changed)
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -163,28 +229,29 @@
 	if r.config.InForce == nil {
 		return
 	}
-	offset := r.config.InForce()
-	if offset == r.inForce.record.Offset {
+	position := r.config.InForce()
+	if position == r.inForce.record.Position {
 		return
 	}
 	for _, record := range changed {
-		if record.Offset != offset {
+		if record.Position != position {
 			continue
 		}
 		r.lastChange++
 		kept := versionedRecord{record: record, change: r.lastChange, compressed: new(compressedValue)}
-		if held := r.records[record.Key]; held.record.Offset == offset && held.compressed != nil {
+		if held := r.records[record.Key]; held.record.Position == position && held.compressed != nil {
 			kept.compressed = held.compressed
 		}
 		r.inForce = kept
 	}
 }
 
-// offsetInForce returns the offset of the record that is in force, [crlid.NoOffset] before the first; ok is false for topics without such a record.
-func (r *Replica) offsetInForce() (offset crlid.Offset, ok bool) {
+// positionInForce returns the position of the record that is in force, [crlid.NoPosition] before the first; ok is false for topics without such a
+// record.
+func (r *Replica) positionInForce() (position crlid.Position, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.inForce.record.Offset, r.config.InForce != nil
+	return r.inForce.record.Position, r.config.InForce != nil
 }
 
 // maxDeleted is the number of deleted keys that a replica keeps, so that followers learn of the deletions.
@@ -199,18 +266,23 @@
 			deleted = append(deleted, held)
 		}
 	}
-	slices.SortFunc(deleted, func(a, b versionedRecord) int { return cmp.Compare(a.record.Offset, b.record.Offset) })
+	slices.SortFunc(deleted, func(a, b versionedRecord) int { return a.record.Position.Compare(b.record.Position) })
 	for _, held := range deleted[:len(deleted)/2] {
 		delete(r.records, held.record.Key)
-		r.forgotten, r.completeFrom = max(r.forgotten, held.change), max(r.completeFrom, held.record.Offset+1)
+		r.forgotten, r.completeFrom = max(r.forgotten, held.change), r.completeFrom.Latest(held.record.Position.Next())
 		r.deleted--
 	}
 }
 
-// Confirm records that the replica held all records that the topic had at the given moment.
-func (r *Replica) Confirm(at crlclock.Instant) {
+// Confirm records that the replica held all records that the topic had at the given moment, as known in an era. It ignores a confirmation of an
+// earlier era than that of the replica.
+func (r *Replica) Confirm(at crlclock.Instant, era crlid.Era) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if era != r.end.Era {
+		return
+	}
+	r.endRestoration()
 	r.noteOutage(at)
 	if at > r.confirmedAt {
 		r.confirmedAt = at
@@ -243,8 +315,8 @@
 // ConfirmedAt returns the latest moment at which the replica is known to have been complete, 0 for never.
 func (r *Replica) ConfirmedAt() crlclock.Instant { return crlclock.Instant(r.confirmation.Load()) }
 
-// End returns the offset at which the topic ended when it was last read, [crlid.NoOffset] before the first read.
-func (r *Replica) End() crlid.Offset {
+// End returns the position at which the topic ended when it was last read, [crlid.NoPosition] before the first read.
+func (r *Replica) End() crlid.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.end
@@ -270,7 +342,7 @@
 }
 
 // changesFrom is like Changes for a follower without a cursor, see since.
-func (r *Replica) changesFrom(end crlid.Offset, inForce *crlid.Offset) <-chan struct{} {
+func (r *Replica) changesFrom(end crlid.Position, inForce *crlid.Position) <-chan struct{} {
 	d := r.since(0, end, inForce)
 	if d.full || len(d.records) > 0 {
 		return r.Changes(0)
@@ -281,48 +353,59 @@
 // delta holds the changes for a follower, and the replica's state at that moment.
 type delta struct {
 	records     []versionedRecord
-	full        bool         // records holds every key
-	inForce     crlid.Offset // offset of the record among them that is in force, NoOffset for none
+	full        bool              // records holds every key
+	lost        []versionedRecord // with full, what the store has of keys whose records are in force although it has lost them
+	inForce     crlid.Position    // position of the record among them that is in force, NoPosition for none
 	cursor      Cursor
-	end         crlid.Offset
+	end         crlid.Position
 	confirmedAt crlclock.Instant
 	loaded      bool
 }
 
 // messages returns the delta's records in messages, compressed if the follower decompresses them.
 func (d *delta) messages(compressed bool) []Record {
+	return encodeRecords(d.records, d.end.Era, compressed)
+}
+
+// encodeRecords returns records in a message of the given era, compressed if the follower decompresses them.
+func encodeRecords(records []versionedRecord, era crlid.Era, compressed bool) []Record {
 	var messages []Record
-	for _, r := range d.records {
+	for _, r := range records {
 		if !compressed {
 			r.compressed = nil
 		}
-		messages = append(messages, encodeRecord(r.record, r.compressed))
+		messages = append(messages, encodeRecord(r.record, era, r.compressed))
 	}
 	return messages
 }
 
 // since returns the records that changed after a follower's cursor, in the order of the topic. For a follower without a cursor, these are the
-// records from the offset end on, up to which its replica is complete. A follower gets all records if it has neither, or if deletions
+// records from the position end on, up to which its replica is complete. A follower gets all records if it has neither, or if deletions
 // since may be unknown or forgotten.
 //
-// The record in force is among them if the follower may not have it: inForce is the offset of the one that is in force at the follower, nil if the follower
+// The record in force is among them if the follower may not have it: inForce is the position of the one that is in force at the follower, nil if the follower
 // is of an earlier version, which gets the newest records only.
-func (r *Replica) since(after Cursor, end crlid.Offset, inForce *crlid.Offset) delta {
+func (r *Replica) since(after Cursor, end crlid.Position, inForce *crlid.Position) delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d := delta{cursor: r.lastChange, end: r.end, inForce: crlid.NoOffset, confirmedAt: r.confirmedAt, loaded: r.loaded}
-	d.full = after == 0 && (end == crlid.NoOffset || end < r.completeFrom) || after > 0 && after < r.forgotten
+	d := delta{cursor: r.lastChange, end: r.end, inForce: crlid.NoPosition, confirmedAt: r.confirmedAt, loaded: r.loaded}
+	d.full = after == 0 && (end == crlid.NoPosition || end.Before(r.completeFrom)) || after > 0 && after < r.forgotten
+	if d.full {
+		for _, record := range r.restoration.pending {
+			d.lost = append(d.lost, versionedRecord{record: record})
+		}
+	}
 	for _, held := range r.records {
-		if d.full || held.change > after && (after > 0 || held.record.Offset >= end) {
+		if d.full || held.change > after && (after > 0 || !held.record.Position.Before(end)) {
 			d.records = append(d.records, held)
 		}
 	}
-	if ours := r.inForce.record.Offset; inForce != nil && ours != crlid.NoOffset && ours != *inForce && (d.full || after == 0 || r.inForce.change > after) {
+	if ours := r.inForce.record.Position; inForce != nil && ours != crlid.NoPosition && ours != *inForce && (d.full || after == 0 || r.inForce.change > after) {
 		d.inForce = ours
-		if !slices.ContainsFunc(d.records, func(v versionedRecord) bool { return v.record.Offset == ours }) {
+		if !slices.ContainsFunc(d.records, func(v versionedRecord) bool { return v.record.Position == ours }) {
 			d.records = append(d.records, r.inForce)
 		}
 	}
-	slices.SortFunc(d.records, func(a, b versionedRecord) int { return cmp.Compare(a.record.Offset, b.record.Offset) })
+	slices.SortFunc(d.records, func(a, b versionedRecord) int { return a.record.Position.Compare(b.record.Position) })
 	return d
 }
--- a/crlrelay/replica_model_test.go
+++ b/crlrelay/replica_model_test.go
@@ -44,9 +44,9 @@
 // readStore begins a read of the store, from the replica's end on or of all keys. What it reads arrives later.
 func (n *modelNode) readStore(topic modelTopic) {
 	end := crlid.Offset(len(topic))
-	if from := n.replica.End(); n.replica.Loaded() && from >= 0 {
+	if from := n.replica.End().Offset; n.replica.Loaded() && from >= 0 {
 		records := topic[from:end:end]
-		n.read = func() { n.replica.Apply(records, end) }
+		n.read = func() { n.replica.Apply(records, at(end)) }
 		return
 	}
 	var records []crlplatform.KeyedRecord
@@ -55,7 +55,7 @@
 			records = append(records, record)
 		}
 	}
-	n.read = func() { n.replica.Replace(records, end) }
+	n.read = func() { n.replica.Replace(records, at(end)) }
 }
 
 // follow begins a call to another router, whose reply arrives later.
@@ -67,7 +67,7 @@
 	if identity != n.source {
 		n.source, n.cursor = identity, 0
 	}
-	end := crlid.NoOffset
+	end := crlid.NoPosition
 	if n.replica.Loaded() {
 		end = n.replica.End()
 	}
@@ -91,17 +91,17 @@
 	if !n.replica.Loaded() {
 		return nil
 	}
-	end := n.replica.End()
+	end := n.replica.End().Offset
 	newest := topic.newest(end)
 	for key, held := range n.replica.records {
 		want := newest[key]
-		if held.record.Offset < end && held.record.Offset < want.Offset && (!held.record.Deleted || !want.Deleted) {
+		if held.record.Position.Before(at(end)) && held.record.Position.Before(want.Position) && (!held.record.Deleted || !want.Deleted) {
 			return fmt.Errorf("complete to %d, but holds %+v in place of %+v", end, held.record, want)
 		}
 	}
 	for key, want := range newest {
-		if held, ok := n.replica.records[key]; !want.Deleted && (!ok || held.record.Offset < want.Offset) {
-			return fmt.Errorf("complete to %d, but lacks %s of %d", end, key, want.Offset)
+		if held, ok := n.replica.records[key]; !want.Deleted && (!ok || held.record.Position.Before(want.Position)) {
+			return fmt.Errorf("complete to %d, but lacks %s of %d", end, key, want.Position.Offset)
 		}
 	}
 	return nil
@@ -122,7 +122,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"write": func(t *rapid.T) {
 				key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
-				topic = append(topic, crlplatform.KeyedRecord{Key: key, Deleted: rapid.Bool().Draw(t, "deleted"), Offset: crlid.Offset(len(topic))})
+				topic = append(topic, crlplatform.KeyedRecord{Key: key, Deleted: rapid.Bool().Draw(t, "deleted"), Position: at(crlid.Offset(len(topic)))})
 			},
 			"read": func(t *rapid.T) {
 				if n := nodes[pick(t, "reader")]; n.read == nil {
@@ -159,7 +159,7 @@
 		for i, n := range nodes {
 			n.readStore(topic)
 			n.read()
-			if end := n.replica.End(); end != crlid.Offset(len(topic)) {
+			if end := n.replica.End().Offset; end != crlid.Offset(len(topic)) {
 				t.Errorf("router %d: complete to %d after a read of %d records", i, end, len(topic))
 			}
 			if err := n.check(topic); err != nil {
--- /dev/null
+++ b/crlrelay/restoration.go
@@ -0,0 +1,133 @@
+package crlrelay
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlclock"
+	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crlplatform"
+)
+
+// RestorationConfig states what happens to the records of a topic when the store comes back from an older copy, which begins a new era: it has lost its
+// newest records, and gives out their offsets again. Those who wrote the lost records write them again.
+type RestorationConfig struct {
+	// Window is how long a record that the store has lost stays in force, so that its writer can write it again. After it, what the store has counts.
+	Window time.Duration
+	// Own reports whether the daemons write the topic themselves: lost records then stay in force until [Replica.Lost] has had them written again.
+	Own bool
+	// Order orders two records of a key by what they state, by which a record that the copy has may be known to be older than the held one for longer than
+	// Window; ok is false if they don't tell. A deleted record has the value that its key had before. If nil, no records tell.
+	Order func(held, restored crlplatform.KeyedRecord) (order int, ok bool)
+	// OnRestated receives records that were written again without a change. It is called like OnChange; nil for a topic for which only changes count.
+	OnRestated func(records []crlplatform.KeyedRecord)
+	// OnRestore is called when a new era begins, with the former one, which is 0 if none was known; nil for none. The replica's lock is held.
+	OnRestore func(before, era crlid.Era)
+}
+
+// restoration is what a replica knows about the newest copy from which the store came back.
+type restoration struct {
+	from  crlid.Position   // end of the topic when the replica first read the era; records from here on were written in it
+	until crlclock.Instant // end of RestorationConfig.Window
+	// pending holds what the store has of each key whose lost record is in force, by key.
+	pending map[string]crlplatform.KeyedRecord
+}
+
+// restorationVerdict is what a record of a newer era means for the held record of its key.
+type restorationVerdict int
+
+const (
+	restorationChanged  restorationVerdict = iota // the record replaces the held one
+	restorationKept                               // the held record stays in force
+	restorationRestated                           // the record is the held one, which was not lost or was written again
+)
+
+// beginRestoration prepares for the records of a new era. Followers get all records anew.
+func (r *Replica) beginRestoration(end crlid.Position) {
+	r.restoration = r.newRestoration(end)
+	r.lastChange++
+	r.forgotten = r.lastChange
+	if r.config.Restoration.OnRestore != nil {
+		r.config.Restoration.OnRestore(r.end.Era, end.Era)
+	}
+}
+
+// newRestoration returns a restoration that begins now.
+func (r *Replica) newRestoration(end crlid.Position) restoration {
+	return restoration{from: end, until: r.config.Now().Add(r.config.Restoration.Window), pending: make(map[string]crlplatform.KeyedRecord)}
+}
+
+// restore decides what a record means for a held one of an earlier era. Offsets below the end of the copy have the same record in both eras. So a record
+// with a higher offset than the held one was written later; one with a lower offset may be an older one of the copy, or have been written in the new era.
+func (r *Replica) restore(held versionedRecord, record crlplatform.KeyedRecord) restorationVerdict {
+	if held.record.Deleted == record.Deleted && bytes.Equal(held.record.Value, record.Value) {
+		return restorationRestated
+	}
+	if order := r.config.Restoration.Order; order != nil && !record.Deleted {
+		known := held.record
+		known.Value = held.lastValue()
+		if c, ok := order(known, record); ok && c >= 0 {
+			return restorationKept
+		} else if ok {
+			return restorationChanged
+		}
+	}
+	isWord := !record.Position.Before(r.restoration.from)
+	isLater := record.Position.Offset > held.record.Position.Offset
+	if isWord || isLater || !r.keepsLost() {
+		return restorationChanged
+	}
+	r.restoration.pending[record.Key] = record
+	return restorationKept
+}
+
+// keepsLost reports whether records that the store has lost stay in force.
+func (r *Replica) keepsLost() bool {
+	return r.restoration.pending != nil && (r.config.Restoration.Own || r.config.Now() < r.restoration.until)
+}
+
+// addPending adds what the store has of keys whose records are in force although it has lost them, as a source states it.
+func (r *Replica) addPending(lost []crlplatform.KeyedRecord, end crlid.Position) {
+	if len(lost) > 0 && r.restoration.pending == nil {
+		r.restoration = r.newRestoration(end)
+	}
+	for _, record := range lost {
+		_, known := r.restoration.pending[record.Key]
+		if held, ok := r.records[record.Key]; ok && !known && held.record.Position.Era < end.Era {
+			r.restoration.pending[record.Key] = record
+		}
+	}
+}
+
+// endRestoration applies what the store has of keys whose records weren't written again within the window.
+func (r *Replica) endRestoration() {
+	if len(r.restoration.pending) == 0 || r.config.Restoration.Own || r.config.Now() < r.restoration.until {
+		return
+	}
+	pending := make([]crlplatform.KeyedRecord, 0, len(r.restoration.pending))
+	for _, record := range r.restoration.pending {
+		pending = append(pending, record)
+	}
+	r.restoration.pending = nil
+	r.apply(pending, r.end, crlid.Position{}, crlid.NoPosition)
+}
+
+// Restoring reports whether lost records may still be written again by others.
+func (r *Replica) Restoring() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.config.Now() < r.restoration.until
+}
+
+// Lost returns the records in force that the store has lost, for a topic that the daemons write themselves.
+func (r *Replica) Lost() (records []crlplatform.KeyedRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.config.Restoration.Own {
+		return nil
+	}
+	for key := range r.restoration.pending {
+		records = append(records, r.records[key].record)
+	}
+	return records
+}
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -72,8 +72,8 @@
 	// The held time is rounded down and ages are rounded up, so that no confirmation looks newer than it is.
 	response.HeldFor = Milliseconds(answeredAt.Sub(receivedAt).Milliseconds())
 	for topic, replica := range s.config.Replicas {
-		after, end := request.Cursors[topic], crlid.NoOffset
-		if known, ok := request.Ends[topic]; ok && after == 0 {
+		after, end := request.Cursors[topic], crlid.NoPosition
+		if known, ok := request.end(topic); ok && after == 0 {
 			end = known
 		}
 		d := replica.since(after, end, request.inForce(topic))
@@ -95,8 +95,9 @@
 
 // encode returns the message of a delta. A delta with the record in force isn't packed, as a pack is the same for all followers and that record isn't.
 func (s *Server) encode(topic Topic, d *delta, request FollowRequest, age Milliseconds) TopicDelta {
-	message := TopicDelta{Full: d.full, Cursor: d.cursor, End: d.end, ConfirmationAge: age}
-	if request.Unpacks && d.inForce == crlid.NoOffset {
+	message := TopicDelta{Full: d.full, Cursor: d.cursor, Era: &d.end.Era, End: d.end.Offset, ConfirmationAge: age}
+	message.Lost = encodeRecords(d.lost, d.end.Era, false)
+	if request.Unpacks && d.inForce == crlid.NoPosition {
 		s.packs[topic].addTo(&message, d)
 	}
 	if message.Packed == nil {
@@ -165,7 +166,7 @@
 	anyChanged := make(chan struct{}, 1)
 	for topic, replica := range s.config.Replicas {
 		changed := replica.Changes(request.Cursors[topic])
-		if end, ok := request.Ends[topic]; ok && request.Await != nil && request.Cursors[topic] == 0 {
+		if end, ok := request.end(topic); ok && request.Await != nil && request.Cursors[topic] == 0 {
 			changed = replica.changesFrom(end, request.inForce(topic))
 		}
 		go func() {
--- a/crlrelay/serve_test.go
+++ b/crlrelay/serve_test.go
@@ -63,8 +63,8 @@
 			if c.load {
 				go func() {
 					time.Sleep(200 * time.Millisecond)
-					d.replica.Replace([]crlplatform.KeyedRecord{record("config", 0, "1")}, 1)
-					d.replica.Confirm(now())
+					d.replica.Replace([]crlplatform.KeyedRecord{record("config", 0, "1")}, at(1))
+					d.replica.Confirm(now(), 0)
 				}()
 			}
 			began := now()
--- a/crlrelay/tree_test.go
+++ b/crlrelay/tree_test.go
@@ -72,7 +72,7 @@
 		follower.UpdateRoster(roster)
 		f.daemons, f.followers = append(f.daemons, d), append(f.followers, follower)
 		if i < ReaderCount {
-			d.replica.Replace([]crlplatform.KeyedRecord{record("config", 0, "1")}, 1)
+			d.replica.Replace([]crlplatform.KeyedRecord{record("config", 0, "1")}, at(1))
 			go confirmPeriodically(ctx, d)
 		}
 		go func() { _ = follower.Run(ctx) }()
@@ -83,7 +83,7 @@
 // write gives the readers a change.
 func (f *fleet) write(offset crlid.Offset, value string) {
 	for _, d := range f.daemons[:ReaderCount] {
-		d.replica.Apply([]crlplatform.KeyedRecord{record("config", offset, value)}, offset+1)
+		d.replica.Apply([]crlplatform.KeyedRecord{record("config", offset, value)}, at(offset+1))
 	}
 }
 
@@ -150,22 +150,22 @@
 func TestNewSourceSendsDifferences(t *testing.T) {
 	now := crlclock.NewMonotonic()
 	source := newDaemon("b", now)
-	source.replica.Replace([]crlplatform.KeyedRecord{record("s1", 3, "in"), record("s2", 5, "in")}, 6)
-	source.replica.Apply([]crlplatform.KeyedRecord{record("s3", 8, "in"), record("s1", 9, "")}, 10)
+	source.replica.Replace([]crlplatform.KeyedRecord{record("s1", 3, "in"), record("s2", 5, "in")}, at(6))
+	source.replica.Apply([]crlplatform.KeyedRecord{record("s3", 8, "in"), record("s1", 9, "")}, at(10))
 	for _, c := range []struct {
-		end     crlid.Offset
+		end     crlid.Position
 		full    bool
 		records int
 	}{
-		{crlid.NoOffset, true, 3}, // a daemon that has nothing
-		{10, false, 0},
-		{9, false, 1},
-		{6, false, 2},
-		{5, true, 3}, // The source may not know of keys that were deleted before it began.
-		{12, false, 0},
+		{crlid.NoPosition, true, 3}, // a daemon that has nothing
+		{at(10), false, 0},
+		{at(9), false, 1},
+		{at(6), false, 2},
+		{at(5), true, 3}, // The source may not know of keys that were deleted before it began.
+		{at(12), false, 0},
 	} {
 		if d := source.replica.since(0, c.end, nil); d.full != c.full || len(d.records) != c.records {
-			t.Errorf("complete up to %d: got %d records (all keys %v), want %d (%v)", c.end, len(d.records), d.full, c.records, c.full)
+			t.Errorf("complete up to %s: got %d records (all keys %v), want %d (%v)", c.end, len(d.records), d.full, c.records, c.full)
 		}
 	}
 }
--- a/crlrelay/unconfirmed_test.go
+++ b/crlrelay/unconfirmed_test.go
@@ -96,14 +96,14 @@
 			}
 			continue
 		}
-		records, end := store.read(r.replica.End())
+		records, end := store.read(r.replica.End().Offset)
 		crlclock.Sleep(ctx, store.delay/2)
 		if r.replica.Loaded() {
-			r.replica.Apply(records, end)
+			r.replica.Apply(records, at(end))
 		} else {
-			r.replica.Replace(records, end)
+			r.replica.Replace(records, at(end))
 		}
-		r.replica.Confirm(sentAt)
+		r.replica.Confirm(sentAt, 0)
 		crlclock.Sleep(ctx, pause-store.delay)
 	}
 }
--- a/crlrollout/assessment_test.go
+++ b/crlrollout/assessment_test.go
@@ -82,9 +82,9 @@
 		})
 		restarted := now > start
 		if restarted {
-			tracker.RecordStatus(Status{Service: service, Target: "v2", State: StateRunning, Offset: 1})
+			tracker.RecordStatus(Status{Service: service, Target: "v2", State: StateRunning, Position: crlid.Position{Offset: 1}})
 		}
-		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, restarted, now)
+		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Position: crlid.Position{Offset: 7}}, restarted, now)
 		s.trackers, s.reporters = append(s.trackers, tracker), append(s.reporters, NewReporter(tracker))
 	}
 }
@@ -373,7 +373,7 @@
 	late := start.Add(orderDuration * 99 / 100)
 	newDaemon := func(self crlid.Incarnation) *Tracker {
 		tracker := NewTracker(Config{Self: self, Daemons: func() int { return 9 }, Random: func() float64 { return 0.5 }})
-		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, false, start)
+		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Position: crlid.Position{Offset: 7}}, false, start)
 		return tracker
 	}
 	state := func(tracker *Tracker) State { return tracker.Due(late, equalCapacity)[0].State }
@@ -456,7 +456,7 @@
 func TestSamplesCountOnce(t *testing.T) {
 	newDaemon := func(self crlid.Incarnation) *Tracker {
 		tracker := NewTracker(Config{Self: self, Daemons: func() int { return 3 }, Random: func() float64 { return 0 }})
-		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, false, start)
+		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Position: crlid.Position{Offset: 7}}, false, start)
 		return tracker
 	}
 	send := func(from *Reporter, to *Tracker, replyArrives bool) {
@@ -503,7 +503,7 @@
 		tracker := NewTracker(Config{
 			Daemons: func() int { return 8 }, Alone: func() bool { return alone }, Random: rand.New(rand.NewPCG(1, 1)).Float64,
 		})
-		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, false, start)
+		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Position: crlid.Position{Offset: 7}}, false, start)
 		tracker.Plan(service, start, equalCapacity)
 		for n := range 50 {
 			observe(tracker, "v1", n, false)
--- a/crlrollout/report.go
+++ b/crlrollout/report.go
@@ -15,11 +15,36 @@
 
 // RolloutReport holds samples of one roll-out.
 type RolloutReport struct {
-	Service crlid.Service  `json:"service"`
-	Order   crlid.Offset   `json:"order"` // Order.Offset
+	Service crlid.Service `json:"service"`
+	OrderReference
 	Origins []OriginReport `json:"origins"`
 }
 
+// OrderReference names an order in messages by its position. Daemons of earlier versions state no era.
+type OrderReference struct {
+	Order crlid.Offset `json:"order"`
+	Era   *crlid.Era   `json:"era,omitempty"`
+}
+
+func referTo(order Order) OrderReference {
+	era := order.Position.Era
+	return OrderReference{Order: order.Position.Offset, Era: &era}
+}
+
+// isTo reports whether the reference names an order. One without an era may name an order of any.
+func (r OrderReference) isTo(order Order) bool {
+	era := order.Position.Era
+	if r.Era != nil {
+		era = *r.Era
+	}
+	return order.Position == crlid.Position{Era: era, Offset: r.Order}
+}
+
+// equal reports whether two references are the same.
+func (r OrderReference) equal(other OrderReference) bool {
+	return r.Order == other.Order && (r.Era == nil) == (other.Era == nil) && (r.Era == nil || *r.Era == *other.Era)
+}
+
 // OriginReport holds samples of one origin: all that are kept of those after number After, up to number UpTo.
 type OriginReport struct {
 	Origin  crlid.Incarnation `json:"origin"`
@@ -36,7 +61,7 @@
 // RolloutReply states what a daemon knows about one roll-out.
 type RolloutReply struct {
 	Service crlid.Service `json:"service"`
-	Order   crlid.Offset  `json:"order"` // Order.Offset
+	OrderReference
 	// Received holds the number of the newest sample that the daemon has of each origin that the report named.
 	Received map[crlid.Incarnation]int64 `json:"received"`
 	Suspect  bool                        `json:"suspect"` // the target is suspect
@@ -81,10 +106,10 @@
 		}
 		rollout.reportedAt = now
 		known := r.received[service]
-		if known.Order != rollout.order.Offset {
+		if !known.isTo(rollout.order) {
 			known.Received = nil
 		}
-		part := RolloutReport{Service: service, Order: rollout.order.Offset}
+		part := RolloutReport{Service: service, OrderReference: referTo(rollout.order)}
 		for _, origin := range slices.Sorted(maps.Keys(rollout.logs)) {
 			log, after := rollout.logs[origin], known.Received[origin]
 			if after >= log.newest {
@@ -106,10 +131,10 @@
 	for _, news := range reply.Rollouts {
 		r.merge(news)
 		rollout, ok := t.rollouts[news.Service]
-		if ok && rollout.order.Offset == news.Order {
+		if ok && news.isTo(rollout.order) {
 			rollout.suspectElsewhere, rollout.openElsewhere, rollout.repliedAt = news.Suspect, news.Open, now
 		}
-		if ok && news.Bad && rollout.order.Offset == news.Order && rollout.assessable() {
+		if ok && news.Bad && news.isTo(rollout.order) && rollout.assessable() {
 			rollout.verdict = verdictLearned
 			markedBad = append(markedBad, news.Service)
 		}
@@ -120,8 +145,8 @@
 // merge adds what a reply states as received to what is known.
 func (r *Reporter) merge(news RolloutReply) {
 	known := r.received[news.Service]
-	if known.Order != news.Order || known.Received == nil {
-		known = RolloutReply{Order: news.Order, Received: make(map[crlid.Incarnation]int64)}
+	if !known.equal(news.OrderReference) || known.Received == nil {
+		known = RolloutReply{OrderReference: news.OrderReference, Received: make(map[crlid.Incarnation]int64)}
 	}
 	for origin, number := range news.Received {
 		known.Received[origin] = number
@@ -136,10 +161,10 @@
 	defer t.mu.Unlock()
 	for _, part := range report.Rollouts {
 		r, ok := t.rollouts[part.Service]
-		if !ok || r.order.Offset != part.Order {
+		if !ok || !part.isTo(r.order) {
 			continue
 		}
-		news := RolloutReply{Service: part.Service, Order: part.Order, Received: make(map[crlid.Incarnation]int64, len(part.Origins))}
+		news := RolloutReply{Service: part.Service, OrderReference: part.OrderReference, Received: make(map[crlid.Incarnation]int64, len(part.Origins))}
 		for _, origin := range part.Origins {
 			if t.receive(r, origin, now) {
 				markedBad = append(markedBad, part.Service)
--- a/crlrollout/tracker.go
+++ b/crlrollout/tracker.go
@@ -27,17 +27,17 @@
 type Order struct {
 	Service  crlid.Service
 	Target   crlid.Version
-	Duration time.Duration // time within which the move should be complete, 0 for at once
-	Offset   crlid.Offset  // offset of the order in the operators' topic
+	Duration time.Duration  // time within which the move should be complete, 0 for at once
+	Position crlid.Position // position of the order in the operators' topic
 }
 
 // Status is the state of a roll-out as a daemon wrote it to the store.
 type Status struct {
-	Service crlid.Service
-	Target  crlid.Version
-	State   State
-	Offset  crlid.Offset // offset of the record in the status topic; not set by Due
-	Urgent  bool         // set by Due if other daemons may not know yet that this status is due
+	Service  crlid.Service
+	Target   crlid.Version
+	State    State
+	Position crlid.Position // position of the record in the status topic; not set by Due
+	Urgent   bool           // set by Due if other daemons may not know yet that this status is due
 }
 
 // DueStatus is a status to write, with what this daemon knows about the target.
@@ -125,13 +125,13 @@
 	}
 }
 
-// AddOrder starts the roll-out of an order, unless one with the same or a later offset is known for the service. existing is
+// AddOrder starts the roll-out of an order, unless one with the same or a later position is known for the service. existing is
 // set for an order that was in the topic before this daemon started; its roll-out takes over the recorded status of the
 // same target, if there is one.
 func (t *Tracker) AddOrder(order Order, existing bool, now crlclock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known, ok := t.rollouts[order.Service]; ok && known.order.Offset >= order.Offset {
+	if known, ok := t.rollouts[order.Service]; ok && !known.order.Position.Before(order.Position) {
 		return
 	}
 	r := &rollout{
@@ -146,6 +146,21 @@
 	t.rollouts[order.Service] = r
 }
 
+// Restate records the position of an order that its operator wrote again after the store came back from an older copy. The roll-out of the same order
+// goes on; any other starts a roll-out, as AddOrder does.
+func (t *Tracker) Restate(order Order, now crlclock.Instant) {
+	t.mu.Lock()
+	known, ok := t.rollouts[order.Service]
+	same := ok && known.order.Target == order.Target && known.order.Duration == order.Duration
+	if same && known.order.Position.Before(order.Position) {
+		known.order.Position = order.Position
+	}
+	t.mu.Unlock()
+	if !same {
+		t.AddOrder(order, false, now)
+	}
+}
+
 // Withdraw removes the order of a service, unless its roll-out is completed or rolled back.
 func (t *Tracker) Withdraw(service crlid.Service) {
 	t.mu.Lock()
@@ -273,13 +288,13 @@
 
 // Plan determines which versions a request of a service may and should run on. The zero Plan allows all versions.
 type Plan struct {
-	Target       crlid.Version // empty when there is no roll-out
-	Share        float64       // the target's share, 0 to 1, of the requests that are free to change their version
-	PinSessions  bool          // sessions keep their version
-	TargetOnly   bool          // no other version is allowed
-	TargetBarred bool          // the target is not allowed
-	OrderOffset  crlid.Offset  // Order.Offset of the roll-out
-	LastStep     bool          // other versions are about to be stopped, which cuts off their open requests
+	Target        crlid.Version  // empty when there is no roll-out
+	Share         float64        // the target's share, 0 to 1, of the requests that are free to change their version
+	PinSessions   bool           // sessions keep their version
+	TargetOnly    bool           // no other version is allowed
+	TargetBarred  bool           // the target is not allowed
+	OrderPosition crlid.Position // Order.Position of the roll-out
+	LastStep      bool           // other versions are about to be stopped, which cuts off their open requests
 	// TargetServers is the number of the target's servers that should share its requests, 0 for all. Each then has about as many requests
 	// as a server of another version, so that their times can be compared.
 	TargetServers int
@@ -324,7 +339,7 @@
 // plan returns the plan for requests that arrive now. In a running roll-out, the target gets no more than the share of the
 // first step while sessions are pinned or the target has too few servers.
 func (r *rollout) plan(now crlclock.Instant, capacity Capacity, daemons int) Plan {
-	p := Plan{Target: r.order.Target, OrderOffset: r.order.Offset}
+	p := Plan{Target: r.order.Target, OrderPosition: r.order.Position}
 	var others int
 	r.servers, others = capacity(r.order.Service, r.order.Target)
 	switch {
@@ -393,10 +408,10 @@
 type Delay struct {
 	Service    crlid.Service
 	Target     crlid.Version
-	Offset     crlid.Offset // Order.Offset
-	Measure    Measure      // the measure in which the target is the least clear to this daemon
-	Likelihood float64      // logarithm of how much likelier the target is bad, in that measure and one class
-	Answers    int          // answers of the target that were compared in that measure and class
+	Position   crlid.Position // Order.Position
+	Measure    Measure        // the measure in which the target is the least clear to this daemon
+	Likelihood float64        // logarithm of how much likelier the target is bad, in that measure and one class
+	Answers    int            // answers of the target that were compared in that measure and class
 }
 
 // Delayed returns the roll-outs that are past their deadline without an outcome.
@@ -410,7 +425,7 @@
 		}
 		least := r.assessment.leastClear()
 		delay := Delay{
-			Service: r.order.Service, Target: r.order.Target, Offset: r.order.Offset, Measure: least.key.measure(), Likelihood: least.likelihood,
+			Service: r.order.Service, Target: r.order.Target, Position: r.order.Position, Measure: least.key.measure(), Likelihood: least.likelihood,
 		}
 		if class, ok := r.assessment.classes[least.key]; ok {
 			delay.Answers = class.ranked
--- a/crlrollout/tracker_test.go
+++ b/crlrollout/tracker_test.go
@@ -24,7 +24,7 @@
 // newTrackerWithOrder returns the tracker of one of several daemons, with a roll-out to v2 that begins at start.
 func newTrackerWithOrder(daemons int) *Tracker {
 	tracker := NewTracker(Config{Daemons: func() int { return daemons }, Random: rand.New(rand.NewPCG(1, 1)).Float64})
-	tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, false, start)
+	tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Position: crlid.Position{Offset: 7}}, false, start)
 	tracker.Plan(service, start, equalCapacity)
 	return tracker
 }
@@ -47,7 +47,7 @@
 func TestExposureUntilTheDeadline(t *testing.T) {
 	for _, bound := range []float64{0.01, 0.03, 0.06, 0.09, 0.12, 0.15, 0.3, 1} {
 		tracker := NewTracker(Config{Daemons: func() int { return 6 }, Exposure: bound})
-		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, false, start)
+		tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Position: crlid.Position{Offset: 7}}, false, start)
 		var exposed float64
 		const step = 10 * time.Millisecond
 		completed := time.Duration(0)
@@ -153,12 +153,12 @@
 // TestStatusOfAnotherTarget checks that a status that is found at the start applies to an order for the same target only.
 func TestStatusOfAnotherTarget(t *testing.T) {
 	tracker := NewTracker(Config{Daemons: func() int { return 1 }})
-	tracker.RecordStatus(Status{Service: service, Target: "v1", State: StateCompleted, Offset: 3})
-	tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Offset: 7}, true, start)
+	tracker.RecordStatus(Status{Service: service, Target: "v1", State: StateCompleted, Position: crlid.Position{Offset: 3}})
+	tracker.AddOrder(Order{Service: service, Target: "v2", Duration: orderDuration, Position: crlid.Position{Offset: 7}}, true, start)
 	if p := tracker.Plan(service, start, equalCapacity); p.TargetOnly || p.TargetBarred {
 		t.Errorf("plan %+v applies the status of another target", p)
 	}
-	tracker.RecordStatus(Status{Service: service, Target: "v2", State: StateCompleted, Offset: 8})
+	tracker.RecordStatus(Status{Service: service, Target: "v2", State: StateCompleted, Position: crlid.Position{Offset: 8}})
 	if p := tracker.Plan(service, start, equalCapacity); !p.TargetOnly || p.Allows("v1") {
 		t.Errorf("plan after completion is %+v, want one that allows the target v2 only", p)
 	}
--- a/crlrouter/callers_test.go
+++ b/crlrouter/callers_test.go
@@ -31,7 +31,7 @@
 			Targets: []crlroute.Target{{Service: "s", Weight: 1}},
 		}},
 	})
-	return Order{Offset: r.Offset, Table: table}, nil
+	return Order{Position: r.Position, Table: table}, nil
 }
 
 // silentServer accepts every request and never answers.
--- a/crlrouter/configuration_test.go
+++ b/crlrouter/configuration_test.go
@@ -18,7 +18,7 @@
 
 // orderRecord returns a record of the configuration.
 func orderRecord(offset crlid.Offset, value string) crlplatform.KeyedRecord {
-	return crlplatform.KeyedRecord{Key: "config", Offset: offset, Value: []byte(value), Deleted: value == ""}
+	return crlplatform.KeyedRecord{Key: "config", Position: crlid.Position{Offset: offset}, Value: []byte(value), Deleted: value == ""}
 }
 
 // chainCaller carries the calls of a router to one other.
@@ -51,8 +51,8 @@
 			Dialect: testDialect{}, Peers: chainCaller{c.network, address(n - 1)}, Logger: crllog.New(crllog.Config{Output: io.Discard}), Clock: c.clock,
 		})
 		routers = append(routers, r)
-		r.replicas[topicStatus].Replace(nil, 0)
-		r.replicas[topicServers].Replace(nil, 0)
+		r.replicas[topicStatus].Replace(nil, crlid.Position{})
+		r.replicas[topicServers].Replace(nil, crlid.Position{})
 		c.serve(ctx, n, crlrelay.NewServer(crlrelay.ServerConfig{
 			Address: address(n), Self: r.incarnation, Replicas: r.replicas, Roster: r.follower.Roster, Now: c.clock, Exchange: r.exchanges,
 		}))
@@ -61,7 +61,7 @@
 			for ctx.Err() == nil {
 				for topic, replica := range r.replicas {
 					if n == 0 || topic != topicOrders {
-						replica.Confirm(c.clock())
+						replica.Confirm(c.clock(), 0)
 					}
 				}
 				time.Sleep(100 * time.Millisecond)
@@ -100,17 +100,17 @@
 				for i, value := range test.source {
 					records = append(records, orderRecord(crlid.Offset(i), value))
 				}
-				end := crlid.Offset(len(records))
-				routers[0].replicas[topicOrders].Replace(nil, 0)
+				end := len(records)
+				routers[0].replicas[topicOrders].Replace(nil, crlid.Position{})
 				for _, r := range records {
-					routers[0].replicas[topicOrders].Apply([]crlplatform.KeyedRecord{r}, r.Offset+1)
+					routers[0].replicas[topicOrders].Apply([]crlplatform.KeyedRecord{r}, r.Position.Next())
 				}
 				for _, r := range routers[1:] {
 					switch {
 					case test.newest:
-						r.replicas[topicOrders].Replace(records[end-1:], end)
+						r.replicas[topicOrders].Replace(records[end-1:], crlid.Position{Offset: crlid.Offset(end)})
 					case test.known > 0:
-						r.replicas[topicOrders].Replace(records[test.known-1:test.known], crlid.Offset(test.known))
+						r.replicas[topicOrders].Replace(records[test.known-1:test.known], crlid.Position{Offset: crlid.Offset(test.known)})
 					}
 					go func() { _ = r.follower.Run(ctx) }()
 				}
@@ -132,9 +132,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		routers := startFollowing(ctx, 2)
-		routers[0].replicas[topicOrders].Replace([]crlplatform.KeyedRecord{orderRecord(3, "4")}, 4)
+		routers[0].replicas[topicOrders].Replace([]crlplatform.KeyedRecord{orderRecord(3, "4")}, crlid.Position{Offset: 4})
 		for i := range 3 {
-			routers[1].replicas[topicOrders].Apply([]crlplatform.KeyedRecord{orderRecord(crlid.Offset(i), fmt.Sprint(3+i))}, crlid.Offset(i+1))
+			routers[1].replicas[topicOrders].Apply([]crlplatform.KeyedRecord{orderRecord(crlid.Offset(i), fmt.Sprint(3+i))}, crlid.Position{Offset: crlid.Offset(i + 1)})
 		}
 		go func() { _ = routers[1].follower.Run(ctx) }()
 		time.Sleep(3 * time.Second)
--- a/crlrouter/exchanges_test.go
+++ b/crlrouter/exchanges_test.go
@@ -81,7 +81,7 @@
 	r := New(Config{
 		Settings: &Settings{}, Logger: crllog.New(crllog.Config{Output: io.Discard}), Clock: func() crlclock.Instant { return crlclock.Instant(time.Hour) },
 	})
-	report, err := json.Marshal(crlrollout.Report{Rollouts: []crlrollout.RolloutReport{{Service: "s", Order: 3}}})
+	report, err := json.Marshal(crlrollout.Report{Rollouts: []crlrollout.RolloutReport{{Service: "s", OrderReference: crlrollout.OrderReference{Order: 3}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/crlrouter/large_configuration_test.go
+++ b/crlrouter/large_configuration_test.go
@@ -26,7 +26,7 @@
 	if err := json.Unmarshal(r.Value, &configuration); err != nil {
 		return Order{}, fmt.Errorf("decode configuration: %w", err)
 	}
-	return Order{Offset: r.Offset, Table: crlroute.NewTable(crlroute.TableConfig{Version: configuration.Version})}, nil
+	return Order{Position: r.Position, Table: crlroute.NewTable(crlroute.TableConfig{Version: configuration.Version})}, nil
 }
 
 // largeConfiguration returns a configuration with routes like those of present deployments, whose names and paths are random.
--- a/crlrouter/listen_test.go
+++ b/crlrouter/listen_test.go
@@ -45,7 +45,7 @@
 type openRouteCodec struct{ testCodec }
 
 func (openRouteCodec) DecodeOrder(r crlplatform.KeyedRecord) (Order, error) {
-	return Order{Offset: r.Offset, Table: crlroute.NewTable(crlroute.TableConfig{
+	return Order{Position: r.Position, Table: crlroute.NewTable(crlroute.TableConfig{
 		Version: 1, Services: []crlroute.Service{{Name: "s"}},
 		Routes: []crlroute.Route{{
 			Host: callersAddress, Prefix: "/", Kind: crlroute.KindNonIdempotent, Public: true, Timeout: time.Minute, Attempts: 1, Targets: []crlroute.Target{{Service: "s", Weight: 1}},
--- a/crlrouter/members.go
+++ b/crlrouter/members.go
@@ -66,6 +66,7 @@
 // run keeps the daemon in the group until ctx ends, and then leaves it.
 func (m *membership) run(ctx context.Context) error {
 	self := memberName(m.follower.Self())
+	var era crlid.Era
 	var generation int64
 	var refreshedAt time.Time
 	joins := 0
@@ -76,15 +77,15 @@
 			Group: memberGroup, Member: self, Topics: groupTopics, TTL: memberTTL, Generation: generation,
 		})
 		cancel()
-		changed := err == nil && joined.Generation != generation
+		changed := err == nil && (joined.Generation != generation || joined.Era != era)
 		if err == nil {
-			generation = joined.Generation
+			era, generation = joined.Era, joined.Generation
 			m.slots.Record(m.slotsOf(joined.Partitions), sentAt, m.now())
 			joins++
 		}
 		// Only daemons that read the store fetch the roster; they relay it to the others.
 		if err == nil && m.follower.ShouldReadStore() && (changed || time.Since(refreshedAt) > rosterRefreshInterval) {
-			m.refreshRoster(ctx, generation)
+			m.refreshRoster(ctx, era, generation)
 			refreshedAt = time.Now()
 		}
 		if joins < firstJoins {
@@ -114,7 +115,7 @@
 
 // refreshRoster reads the group's members from the store and passes them to the follower, sorted by strength and then by the
 // partition that they own, so that all daemons agree on the first ones, which read the store.
-func (m *membership) refreshRoster(ctx context.Context, generation int64) {
+func (m *membership) refreshRoster(ctx context.Context, era crlid.Era, generation int64) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
 	defer cancel()
 	owners, err := m.store.Owners(ctx, memberGroup)
@@ -125,7 +126,7 @@
 	slices.SortFunc(owners, func(a, b crlplatform.Owner) int {
 		return cmp.Or(cmp.Compare(a.Topic, b.Topic), cmp.Compare(a.Number, b.Number))
 	})
-	roster := crlrelay.Roster{Generation: generation}
+	roster := crlrelay.Roster{Era: era, Generation: generation}
 	seen := make(map[string]bool)
 	for _, owner := range owners {
 		member, ok := parseMember(owner.Member)
@@ -136,8 +137,8 @@
 	}
 	// Strong members come first because a reader on a weak VM or a slow link delays every daemon that follows it.
 	slices.SortStableFunc(roster.Members, func(a, b crlrelay.Member) int { return cmp.Compare(b.Strength, a.Strength) })
-	if roster.Generation != m.follower.Roster().Generation {
-		m.logger.Event(EventMembership, slog.Int64("generation", generation), slog.Int("members", len(roster.Members)))
+	if known := m.follower.Roster(); roster.Generation != known.Generation || roster.Era != known.Era {
+		m.logger.Event(EventMembership, slog.Int64("generation", generation), slog.Int64("era", int64(era)), slog.Int("members", len(roster.Members)))
 	}
 	m.follower.UpdateRoster(roster)
 }
--- a/crlrouter/quarantine.go
+++ b/crlrouter/quarantine.go
@@ -74,7 +74,7 @@
 		}
 		record, err := crlquarantine.Decode(part, r.Value)
 		if err != nil {
-			l.logger.Event(EventBadRecord, slog.String("key", r.Key), slog.Int64("offset", int64(r.Offset)), slog.String("cause", err.Error()))
+			l.logger.Event(EventBadRecord, slog.String("key", r.Key), slog.Int64("offset", int64(r.Position.Offset)), slog.String("cause", err.Error()))
 			continue
 		}
 		l.registry.Apply(record)
@@ -89,6 +89,7 @@
 		select {
 		case <-l.registry.Changed():
 		case <-ticker.C:
+			l.writeLost(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -163,12 +164,27 @@
 		}
 		record.Value = value
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
+	return l.append(ctx, record)
+}
+
+// writeLost writes records that the store has lost, as far as this daemon's share of writes that are not urgent allows.
+func (l *quarantineLedger) writeLost(ctx context.Context) {
+	for _, record := range l.replica.Lost() {
+		if !l.bucket.Take(l.suspicionLimit(), l.now()) || l.append(ctx, record) > 0 {
+			return
+		}
+	}
+}
+
+// append appends a record on the condition that the topic still ends where the replica does. It returns the mean pause until the next try, 0 if it
+// succeeded.
+func (l *quarantineLedger) append(ctx context.Context, record crlplatform.KeyedRecord) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
 	defer cancel()
 	at := l.replica.End()
-	end, err := l.store.AppendAt(callCtx, l.topic, record, at)
+	end, err := l.store.AppendAt(ctx, l.topic, record, at)
 	if err == nil {
-		record.Offset = at
+		record.Position = at
 		l.replica.Apply([]crlplatform.KeyedRecord{record}, end)
 		return 0
 	}
--- a/crlrouter/router.go
+++ b/crlrouter/router.go
@@ -83,6 +83,7 @@
 	stop        chan struct{} // closed when Run ends its goroutines
 
 	incarnation   crlid.Incarnation
+	storeRestores atomic.Int64 // topics of which a return of the store from an older copy was seen
 	failingTopics atomic.Int32 // number of topics whose last read from the store failed
 }
 
@@ -121,7 +122,7 @@
 	r.brittleness = crlfleet.NewBrittlenessExchange(r.fleet)
 	r.exchanges.add(exchangeBrittle, r.brittleness)
 	r.orders = &orderProcessor{
-		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, logger: config.Logger, tableOffset: crlid.NoOffset,
+		codec: config.Codec, fleet: r.fleet, rollouts: rollouts, now: config.Clock, logger: config.Logger, tablePosition: crlid.NoPosition,
 	}
 	r.servers = &serverEntries{
 		codec: config.Codec, fleet: r.fleet, now: config.Clock, logger: config.Logger, lapsed: make(map[crlid.Server]bool),
@@ -130,13 +131,8 @@
 		codec: config.Codec, store: config.Store, topic: config.Topics.Status, rollouts: rollouts, fleet: r.fleet,
 		daemonCount: r.follower.Count, now: config.Clock, logger: config.Logger,
 	}
-	r.replicas[topicOrders] = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: r.orders.apply, Now: config.Clock, InForce: r.orders.offsetInForce})
-	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{
-		OnChange: r.servers.apply, Same: r.servers.sameEntry, Now: config.Clock, OutageAfter: outageThreshold, Settle: lapseGracePeriod,
-	})
+	r.addReplicas()
 	r.fleet.LimitEntryAge(r.replicas[topicServers].ConfirmedAt, s.Bounds.drain())
-	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: r.reporter.apply, Now: config.Clock})
-	r.replicas[topicStatus] = r.reporter.replica
 	r.quarantine = r.newQuarantineLedger()
 	confirmationAge := defaultConfirmationAge
 	if s.Bounds.Revocation > 0 {
@@ -159,6 +155,25 @@
 	return r
 }
 
+// addReplicas adds the replicas of all topics but that of the quarantine.
+func (r *Router) addReplicas() {
+	config := r.config
+	r.replicas[topicOrders] = crlrelay.NewReplica(crlrelay.ReplicaConfig{
+		OnChange: r.orders.apply, Now: config.Clock, InForce: r.orders.positionInForce,
+		Restoration: crlrelay.RestorationConfig{
+			Window: orderRestorationWindow, Order: r.orders.compare, OnRestated: r.orders.restate, OnRestore: r.logRestore(topicOrders),
+		},
+	})
+	r.replicas[topicServers] = crlrelay.NewReplica(crlrelay.ReplicaConfig{
+		OnChange: r.servers.apply, Same: r.servers.sameEntry, Now: config.Clock, OutageAfter: outageThreshold, Settle: lapseGracePeriod,
+		Restoration: crlrelay.RestorationConfig{Window: lapseGracePeriod, Order: r.servers.compare, OnRestore: r.logRestore(topicServers)},
+	})
+	r.reporter.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{
+		OnChange: r.reporter.apply, Now: config.Clock, Restoration: crlrelay.RestorationConfig{Own: true, OnRestore: r.logRestore(topicStatus)},
+	})
+	r.replicas[topicStatus] = r.reporter.replica
+}
+
 // newFollower returns the follower that keeps the router's replicas up to date.
 func (r *Router) newFollower() *crlrelay.Follower {
 	s := r.config.Settings
@@ -181,11 +196,29 @@
 		}),
 		store: r.config.Store, topic: r.config.Topics.Quarantine, logger: r.config.Logger, daemons: r.follower.Count, now: r.config.Clock,
 	}
-	l.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{OnChange: l.apply, Now: r.config.Clock, Optional: true})
+	l.replica = crlrelay.NewReplica(crlrelay.ReplicaConfig{
+		OnChange: l.apply, Now: r.config.Clock, Optional: true,
+		Restoration: crlrelay.RestorationConfig{Own: true, OnRestore: r.logRestore(topicQuarantine)},
+	})
 	r.replicas[topicQuarantine] = l.replica
 	return l
 }
 
+// orderRestorationWindow is the time that operators have for writing lost orders again before the store's older ones count. A configuration never reverts to
+// an older version.
+const orderRestorationWindow = 10 * time.Second
+
+// logRestore returns a function that logs that the store has come back from an older copy, and counts it. A daemon that learns the store's first era has
+// seen no such return.
+func (r *Router) logRestore(topic crlrelay.Topic) func(before, era crlid.Era) {
+	return func(before, era crlid.Era) {
+		if before > 0 {
+			r.storeRestores.Add(1)
+		}
+		r.config.Logger.Event(EventStoreEra, slog.String("topic", string(topic)), slog.Int64("before", int64(before)), slog.Int64("era", int64(era)))
+	}
+}
+
 // hasEngines reports whether the configuration in force has services of model engines.
 func (r *Router) hasEngines() bool {
 	current := r.orders.current.Load()
@@ -280,6 +313,12 @@
 			Name: "cranberrylock_router_brittle_rejections_total", Help: "Requests that brittle servers have turned away.",
 		}, func() float64 { return float64(r.fleet.BrittleState().Rejections) }),
 		gauge("load_known_routers", "Other routers whose load of model engines is known.", func() float64 { return r.workload.Known(r.config.Clock()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "cranberrylock_router_store_restores_total", Help: "Topics of which this router saw that the store has come back from an older copy.",
+		}, func() float64 { return float64(r.storeRestores.Load()) }),
+		gauge("store_era", "Era of the store in which the orders were last read, 0 for a store that states none.", func() float64 {
+			return float64(r.replicas[topicOrders].End().Era)
+		}),
 		gauge("log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(r.config.Logger.Dropped()) }),
 	}
 }
--- a/crlrouter/router_test.go
+++ b/crlrouter/router_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,7 +34,7 @@
 type testCodec struct{}
 
 func (testCodec) DecodeOrder(r crlplatform.KeyedRecord) (Order, error) {
-	order := Order{Offset: r.Offset, Withdrawn: r.Deleted}
+	order := Order{Position: r.Position, Withdrawn: r.Deleted}
 	switch r.Key {
 	case "config":
 		var version int64
@@ -42,7 +43,7 @@
 		}
 		order.Table = crlroute.NewTable(crlroute.TableConfig{Version: version})
 	case "rollout":
-		order.Rollout = &crlrollout.Order{Service: "s", Target: crlid.Version(r.Value), Duration: 20 * time.Second, Offset: r.Offset}
+		order.Rollout = &crlrollout.Order{Service: "s", Target: crlid.Version(r.Value), Duration: 20 * time.Second, Position: r.Position}
 	default:
 		order.Evacuated = crlid.Domain(r.Key)
 	}
@@ -56,9 +57,16 @@
 	return crlfleet.Entry{Server: crlid.Server(r.Key), Service: "s", Address: r.Key, Version: crlid.Version(r.Value), Domain: "near", Slots: brittlePlaces}, nil
 }
 
+// DecodeHeartbeat decodes the count that precedes a slash in the value, such as 7/v2.
+func (testCodec) DecodeHeartbeat(r crlplatform.KeyedRecord) (Heartbeat, bool) {
+	text, _, found := strings.Cut(string(r.Value), "/")
+	count, err := strconv.ParseInt(text, 10, 64)
+	return Heartbeat{Count: count}, found && err == nil
+}
+
 func (testCodec) DecodeStatus(r crlplatform.KeyedRecord) (crlrollout.Status, bool) {
 	state, err := crlrollout.StateString(string(r.Value))
-	return crlrollout.Status{Service: "s", Target: "v2", State: state, Offset: r.Offset}, err == nil
+	return crlrollout.Status{Service: "s", Target: "v2", State: state, Position: r.Position}, err == nil
 }
 
 func (testCodec) EncodeStatus(s crlrollout.Status) (crlplatform.KeyedRecord, error) {
@@ -518,7 +526,7 @@
 	runCluster(t, 6, func(store *memoryStore, _ []*Router) {
 		store.put("servers", "i-1", "v1")
 		store.put("servers", "i-2", "v2")
-		at := crlid.Offset(0)
+		at := crlid.Position{}
 		store.put("orders", "rollout", "v2")
 		time.Sleep(20 * time.Second)
 		if got := strings.Join(store.values("status"), " "); got != "running completed" {
--- a/crlrouter/servers.go
+++ b/crlrouter/servers.go
@@ -1,6 +1,7 @@
 package crlrouter
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -24,6 +25,12 @@
 	outageThreshold = 2500 * time.Millisecond
 )
 
+// Heartbeat orders the entries that a backend server writes.
+type Heartbeat struct {
+	StartedAt time.Time // when the server's process started, the zero time if that isn't stated
+	Count     int64     // of the heartbeats of that process
+}
+
 // serverEntries applies the backend servers' entries in the store to the fleet.
 type serverEntries struct {
 	codec  Codec
@@ -51,7 +58,7 @@
 		}
 		entry, err := s.codec.DecodeServer(r)
 		if err != nil {
-			s.logger.Event(EventBadRecord, slog.String("key", r.Key), slog.Int64("offset", int64(r.Offset)), slog.String("cause", err.Error()))
+			s.logger.Event(EventBadRecord, slog.String("key", r.Key), slog.Int64("offset", int64(r.Position.Offset)), slog.String("cause", err.Error()))
 			s.fleet.Remove(id)
 			continue
 		}
@@ -60,6 +67,16 @@
 	}
 }
 
+// compare orders two entries of a server by their heartbeats; ok is false if they don't tell.
+func (s *serverEntries) compare(a, b crlplatform.KeyedRecord) (order int, ok bool) {
+	first, isFirst := s.codec.DecodeHeartbeat(a)
+	second, isSecond := s.codec.DecodeHeartbeat(b)
+	if !isFirst || !isSecond || first.StartedAt.IsZero() != second.StartedAt.IsZero() {
+		return 0, false
+	}
+	return cmp.Or(first.StartedAt.Compare(second.StartedAt), cmp.Compare(first.Count, second.Count)), true
+}
+
 // sameEntry reports whether two records of a server differ at most in the heartbeat count. A cold server's record always
 // counts as changed, since its remaining cold time does.
 func (s *serverEntries) sameEntry(before, after crlplatform.KeyedRecord) bool {
--- a/crlrouter/status.go
+++ b/crlrouter/status.go
@@ -33,8 +33,8 @@
 	now         crlclock.Clock
 	logger      *crllog.Logger
 	daemonCount func() int
-	delayLogged map[crlid.Service]crlid.Offset // by service: the order whose delay was logged last
-	replica     *crlrelay.Replica              // replica of the status topic; a write fails unless the topic ends where the replica does
+	delayLogged map[crlid.Service]crlid.Position // by service: the order whose delay was logged last
+	replica     *crlrelay.Replica                // replica of the status topic; a write fails unless the topic ends where the replica does
 }
 
 // apply applies status records that any daemon wrote.
@@ -43,7 +43,7 @@
 		status, ok := p.codec.DecodeStatus(r)
 		if ok && p.rollouts.RecordStatus(status) {
 			p.logger.Event(EventStatus, slog.String("service", string(status.Service)), slog.String("target", string(status.Target)),
-				slog.String("state", status.State.String()), slog.Int64("offset", int64(r.Offset)), slog.String("outcome", "learned"))
+				slog.String("state", status.State.String()), slog.Int64("offset", int64(r.Position.Offset)), slog.String("outcome", "learned"))
 		}
 	}
 }
@@ -63,6 +63,9 @@
 			}
 			p.write(ctx, status)
 		}
+		for _, lost := range p.replica.Lost() {
+			p.writeAgain(ctx, lost)
+		}
 		p.logDelays()
 	}
 	return ctx.Err()
@@ -71,13 +74,13 @@
 // logDelays logs each roll-out once that is past its deadline without an outcome.
 func (p *statusReporter) logDelays() {
 	for _, delay := range p.rollouts.Delayed(p.now()) {
-		if offset, ok := p.delayLogged[delay.Service]; ok && offset == delay.Offset {
+		if position, ok := p.delayLogged[delay.Service]; ok && position == delay.Position {
 			continue
 		}
 		if p.delayLogged == nil {
-			p.delayLogged = make(map[crlid.Service]crlid.Offset)
+			p.delayLogged = make(map[crlid.Service]crlid.Position)
 		}
-		p.delayLogged[delay.Service] = delay.Offset
+		p.delayLogged[delay.Service] = delay.Position
 		p.logger.Event(EventStatusDelayed, slog.String("service", string(delay.Service)), slog.String("target", string(delay.Target)),
 			slog.String("measure", delay.Measure.String()), slog.Float64("likelihood", delay.Likelihood), slog.Int("answers", delay.Answers))
 	}
@@ -91,19 +94,31 @@
 		p.logger.Event(EventBadRecord, slog.String("service", string(status.Service)), slog.String("cause", err.Error()))
 		return
 	}
+	end, outcome, cause := p.append(ctx, record)
+	p.logger.Event(EventStatus, slog.String("service", string(status.Service)), slog.String("target", string(status.Target)),
+		slog.String("state", status.State.String()), slog.Int64("at", int64(end.Offset)), slog.String("outcome", outcome), slog.String("cause", cause),
+		slog.Float64("evidence", status.Evidence), slog.Int("answers", status.Answers))
+}
+
+// writeAgain writes a status that the store has lost.
+func (p *statusReporter) writeAgain(ctx context.Context, record crlplatform.KeyedRecord) {
+	end, outcome, cause := p.append(ctx, record)
+	p.logger.Event(EventStatus, slog.String("key", record.Key), slog.Int64("at", int64(end.Offset)), slog.Int64("era", int64(end.Era)),
+		slog.String("outcome", outcome), slog.String("cause", cause))
+}
+
+// append appends a record on the condition that the topic ends at the returned position.
+func (p *statusReporter) append(ctx context.Context, record crlplatform.KeyedRecord) (end crlid.Position, outcome, cause string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
 	defer cancel()
-	end := p.replica.End()
-	_, err = p.store.AppendAt(ctx, p.topic, record, end)
-	outcome, cause := "written", ""
+	end = p.replica.End()
+	_, err := p.store.AppendAt(ctx, p.topic, record, end)
 	var conflict *crlplatform.Conflict
 	switch {
 	case errors.As(err, &conflict):
-		outcome = "conflict with another write"
+		return end, "conflict with another write", ""
 	case err != nil:
-		outcome, cause = "unknown", err.Error()
+		return end, "unknown", err.Error()
 	}
-	p.logger.Event(EventStatus, slog.String("service", string(status.Service)), slog.String("target", string(status.Target)),
-		slog.String("state", status.State.String()), slog.Int64("at", int64(end)), slog.String("outcome", outcome), slog.String("cause", cause),
-		slog.Float64("evidence", status.Evidence), slog.Int("answers", status.Answers))
+	return end, "written", ""
 }
--- a/crlrouter/store_test.go
+++ b/crlrouter/store_test.go
@@ -17,6 +17,7 @@
 	mu          sync.Mutex
 	topics      map[string][]crlplatform.KeyedRecord
 	firstOffset map[string]crlid.Offset // oldest offset that can still be read, by topic
+	era         crlid.Era
 	members     []string
 	generation  int64
 	reads       int
@@ -107,12 +108,42 @@
 	m.append(topic, crlplatform.KeyedRecord{Key: key, Value: []byte(value), Deleted: value == ""})
 }
 
-func (m *memoryStore) append(topic string, record crlplatform.KeyedRecord) crlid.Offset {
-	record.Offset = crlid.Offset(len(m.topics[topic]))
+func (m *memoryStore) append(topic string, record crlplatform.KeyedRecord) {
+	record.Position = m.end(topic)
 	m.topics[topic] = append(m.topics[topic], record)
 	close(m.changed)
 	m.changed = make(chan struct{})
-	return record.Offset
+}
+
+func (m *memoryStore) end(topic string) crlid.Position {
+	return crlid.Position{Era: m.era, Offset: crlid.Offset(len(m.topics[topic]))}
+}
+
+// copyTopics returns a copy of what the store holds, from which restore brings it back.
+func (m *memoryStore) copyTopics() map[string][]crlplatform.KeyedRecord {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	topics := make(map[string][]crlplatform.KeyedRecord)
+	for topic, records := range m.topics {
+		topics[topic] = slices.Clone(records)
+	}
+	return topics
+}
+
+// restore brings the store back from a copy, which begins a new era.
+func (m *memoryStore) restore(topics map[string][]crlplatform.KeyedRecord) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.topics = make(map[string][]crlplatform.KeyedRecord)
+	for topic, records := range topics {
+		m.topics[topic] = slices.Clone(records)
+		for i := range m.topics[topic] {
+			m.topics[topic][i].Position.Era = m.era
+		}
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // dropHistory makes all present records of a topic unreadable by offset. Newest still returns the newest one of each key.
@@ -149,7 +180,7 @@
 	for _, r := range m.topics[topic] {
 		newest[r.Key] = r
 	}
-	page := crlplatform.KeyedPage{End: crlid.Offset(len(m.topics[topic]))}
+	page := crlplatform.KeyedPage{End: m.end(topic)}
 	for _, r := range newest {
 		if !r.Deleted {
 			page.Records = append(page.Records, r)
@@ -164,15 +195,15 @@
 	for {
 		m.mu.Lock()
 		m.reads++
-		records, changed, down, firstOffset := m.topics[topic], m.changed, m.down, m.firstOffset[topic]
+		records, end, changed, down, firstOffset := m.topics[topic], m.end(topic), m.changed, m.down, m.firstOffset[topic]
 		m.mu.Unlock()
 		if down {
 			return crlplatform.KeyedPage{}, errDown
 		}
-		if read.From < firstOffset {
+		if read.From.Offset < firstOffset || read.From.Offset > end.Offset {
 			return crlplatform.KeyedPage{}, &crlplatform.Error{Service: "store", Status: http.StatusGone, Trimmed: true}
 		}
-		page := crlplatform.KeyedPage{Records: records[read.From:], End: crlid.Offset(len(records))}
+		page := crlplatform.KeyedPage{Records: records[read.From.Offset:], End: end}
 		if len(page.Records) > 0 {
 			return page, nil
 		}
@@ -187,17 +218,18 @@
 	}
 }
 
-func (m *memoryStore) AppendAt(_ context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Offset) (crlid.Offset, error) {
+func (m *memoryStore) AppendAt(_ context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Position) (crlid.Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.appends++
 	if m.down {
-		return 0, errDown
+		return crlid.NoPosition, errDown
 	}
-	if end := crlid.Offset(len(m.topics[topic])); end != at {
-		return 0, &crlplatform.Conflict{End: end}
+	if end := m.end(topic); end.Offset != at.Offset {
+		return crlid.NoPosition, &crlplatform.Conflict{End: end}
 	}
-	return m.append(topic, record) + 1, nil
+	m.append(topic, record)
+	return m.end(topic), nil
 }
 
 func (m *memoryStore) Join(_ context.Context, join crlplatform.Join) (crlplatform.Membership, error) {
@@ -210,7 +242,7 @@
 		m.members = append(m.members, join.Member)
 		m.generation++
 	}
-	membership := crlplatform.Membership{Generation: m.generation}
+	membership := crlplatform.Membership{Era: m.era, Generation: m.generation}
 	for n := range join.Topics * defaultStorePartitions {
 		if m.members[(n+m.dealt)%len(m.members)] == join.Member {
 			membership.Partitions = append(membership.Partitions, crlplatform.Partition{
--- a/crlrouter/traffic_test.go
+++ b/crlrouter/traffic_test.go
@@ -248,7 +248,7 @@
 func trafficServer(n, sequence int) crlplatform.KeyedRecord {
 	value := fmt.Sprintf(`{"id":"engine-%d","address":"10.1.%d.%d:8000","service":"drafts","zone":"domain-%d","version":"7","slots":32,"born":%d,"sequence":%d,"state":"in"}`,
 		n, n/250, n%250, n%6, 1764000000+n, sequence)
-	return crlplatform.KeyedRecord{Key: fmt.Sprint("engine-", n), Offset: crlid.Offset(sequence), Value: []byte(value)}
+	return crlplatform.KeyedRecord{Key: fmt.Sprint("engine-", n), Position: crlid.Position{Offset: crlid.Offset(sequence)}, Value: []byte(value)}
 }
 
 // trafficConfigurationOf1400Routes returns a configuration of 1,400 routes, about 1 MB.
@@ -262,7 +262,7 @@
 			`"priority":1,"attempts":2,"sizes":["small","medium","large"],"sticky":true,"resumable":true,"keys":["%s"],"limit":{"rate":100,"burst":200}},`,
 			n, hex.EncodeToString(id[:10]), hex.EncodeToString(id))
 	}
-	return crlplatform.KeyedRecord{Key: "configuration", Offset: 1, Value: value}
+	return crlplatform.KeyedRecord{Key: "configuration", Position: crlid.Position{Offset: 1}, Value: value}
 })
 
 // readStore feeds a router from the store, from the given moment on, if it should read it.
@@ -281,11 +281,11 @@
 			for n := range servers {
 				records = append(records, trafficServer(n, 1+n))
 			}
-			r.configuration.Replace([]crlplatform.KeyedRecord{trafficConfigurationOf1400Routes()}, 2)
-			r.servers.Replace(records, crlid.Offset(servers+1))
+			r.configuration.Replace([]crlplatform.KeyedRecord{trafficConfigurationOf1400Routes()}, crlid.Position{Offset: 2})
+			r.servers.Replace(records, crlid.Position{Offset: crlid.Offset(servers + 1)})
 		}
-		r.configuration.Confirm(r.fleet.now())
-		r.servers.Confirm(r.fleet.now())
+		r.configuration.Confirm(r.fleet.now(), 0)
+		r.servers.Confirm(r.fleet.now(), 0)
 		crlclock.Sleep(ctx, 400*time.Millisecond)
 	}
 }
@@ -389,7 +389,7 @@
 	}
 	for i := range 10 * seconds {
 		for _, r := range f.list[:crlrelay.ReaderCount] {
-			r.servers.Apply([]crlplatform.KeyedRecord{trafficServer(i, c.servers+1+i)}, crlid.Offset(c.servers+2+i))
+			r.servers.Apply([]crlplatform.KeyedRecord{trafficServer(i, c.servers+1+i)}, crlid.Position{Offset: crlid.Offset(c.servers + 2 + i)})
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/crlrouter/watcher.go
+++ b/crlrouter/watcher.go
@@ -21,12 +21,12 @@
 	// Newest returns a page with the newest record of each key that follows the key after, or of each key if after is empty; more is
 	// set unless that page is the last.
 	Newest(ctx context.Context, topic, after string) (page crlplatform.KeyedPage, more bool, err error)
-	// Read returns records from the offset read.From on; when there are none, the store holds the call for up to read.Wait. It fails
-	// with a *crlplatform.Error with Trimmed set if the store no longer retains read.From.
+	// Read returns records from the offset of read.From on, in the era that the page's end states; when there are none, the store holds the call for up to
+	// read.Wait. It fails with a *crlplatform.Error with Trimmed set if the store doesn't have that offset.
 	Read(ctx context.Context, topic string, read crlplatform.KeyedRead) (crlplatform.KeyedPage, error)
-	// AppendAt appends a record if the topic ends at the offset at, and returns the topic's new end. If the topic ends elsewhere, it
-	// fails with a *crlplatform.Conflict.
-	AppendAt(ctx context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Offset) (end crlid.Offset, err error)
+	// AppendAt appends a record if the topic ends at the offset of at, and returns the topic's new end, which may be of another era. If the topic ends
+	// elsewhere, it fails with a *crlplatform.Conflict.
+	AppendAt(ctx context.Context, topic string, record crlplatform.KeyedRecord, at crlid.Position) (end crlid.Position, err error)
 	// Join adds or renews a member, and returns its partitions; the generation changes with the group's members.
 	Join(ctx context.Context, join crlplatform.Join) (crlplatform.Membership, error)
 	// Leave removes a member from a group at once, before its time to live ends.
@@ -40,6 +40,8 @@
 	EventStoreLost     crllog.Event = "store-lost"
 	EventStoreRegained crllog.Event = "store-regained"
 	EventHistoryLost   crllog.Event = "history-lost"
+	// EventStoreEra is logged for each topic once its reader sees that the store has come back from an older copy.
+	EventStoreEra crllog.Event = "store-era"
 )
 
 const (
@@ -120,17 +122,23 @@
 	page, err := w.config.store.Read(ctx, w.config.topic, crlplatform.KeyedRead{From: from, Wait: wait})
 	var refused *crlplatform.Error
 	if errors.As(err, &refused) && refused.Trimmed {
-		w.config.logger.Event(EventHistoryLost, slog.String("topic", w.config.topic), slog.Int64("next", int64(from)))
+		w.config.logger.Event(EventHistoryLost, slog.String("topic", w.config.topic), slog.Int64("next", int64(from.Offset)))
 		return w.bootstrap(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	switch {
+	case page.End.Era > from.Era:
+		return w.bootstrap(ctx)
+	case page.End.Era < from.Era:
+		return errEarlierEra
+	}
 	if len(page.Records) > 0 {
-		from = page.Records[len(page.Records)-1].Offset + 1
+		from = page.Records[len(page.Records)-1].Position.Next()
 		w.config.replica.Apply(page.Records, from)
 	}
-	if from < page.End {
+	if from.Before(page.End) {
 		return nil // More records follow, so the replica is not confirmed current yet.
 	}
 	// A long poll that timed out without records confirms that nothing changed while the store held it, so it counts as if it
@@ -138,10 +146,16 @@
 	if elapsed := w.config.now().Sub(sentAt); len(page.Records) == 0 && elapsed >= wait {
 		sentAt = sentAt.Add(wait)
 	}
-	w.config.replica.Confirm(sentAt)
+	w.config.replica.Confirm(sentAt, page.End.Era)
 	return nil
 }
 
+// errEarlierEra is the error of a read that the store answered in an earlier era than that of the replica.
+var errEarlierEra = errors.New("the reply is from an earlier era of the store")
+
+// errEraChanged is the error of a read of several pages between which the store came back from an older copy.
+var errEraChanged = errors.New("the pages are from two eras of the store")
+
 // bootstrap replaces the content of the replica by the newest record of every key.
 func (w *watcher) bootstrap(ctx context.Context) error {
 	sentAt := w.config.now()
@@ -150,23 +164,28 @@
 	ctx, stop := crlclock.WithStallTimeout(ctx, callTimeoutMargin, callTimeoutMargin)
 	defer stop()
 	var records []crlplatform.KeyedRecord
-	after, end := "", crlid.NoOffset
+	after, end := "", crlid.NoPosition
 	for {
 		page, more, err := w.config.store.Newest(ctx, w.config.topic, after)
 		if err != nil {
 			return err
 		}
 		records = append(records, page.Records...)
-		if end == crlid.NoOffset {
+		if end == crlid.NoPosition {
 			end = page.End // Records that were appended between two pages are read again from the first page's end.
 		}
+		if page.End.Era != end.Era {
+			return errEraChanged
+		}
 		if !more || len(page.Records) == 0 {
 			break
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	w.config.replica.Replace(records, end)
-	w.config.replica.Confirm(sentAt)
+	if !w.config.replica.Replace(records, end) {
+		return errEarlierEra
+	}
+	w.config.replica.Confirm(sentAt, end.Era)
 	return nil
 }
 
@@ -178,7 +197,7 @@
 	w.failedSince = w.config.now()
 	w.config.failingTopics.Add(1)
 	w.config.logger.Event(EventStoreLost,
-		slog.String("topic", w.config.topic), slog.String("cause", err.Error()), slog.Int64("next", int64(w.config.replica.End())))
+		slog.String("topic", w.config.topic), slog.String("cause", err.Error()), slog.Int64("next", int64(w.config.replica.End().Offset)))
 }
 
 // noteRegained logs the first successful read after failed ones and no longer counts the topic as failing.
@@ -187,7 +206,7 @@
 		return
 	}
 	w.config.logger.Event(EventStoreRegained, slog.String("topic", w.config.topic),
-		slog.Duration("lost-ms", w.config.now().Sub(w.failedSince)), slog.Int64("next", int64(w.config.replica.End())))
+		slog.Duration("lost-ms", w.config.now().Sub(w.failedSince)), slog.Int64("next", int64(w.config.replica.End().Offset)))
 	w.failedSince = 0
 	w.config.failingTopics.Add(-1)
 }
