Drop the cursors of a source that has started again

For 8 s five copies lacked the removal and counted as confirmed.

Cause: a follower kept the cursors of a source's former run when the source, started again, replied before it had loaded: the reply changed the known incarnation, and no delta replaced the cursors. The next request passed them off as of the new run, and a source with fewer changes had "nothing after" them. The follower took over the source's end without the removal, and its own followers took it from there. A follower with another source was safe, as changing the source clears the cursors; so the former test of a restart did not show it.

Change: a reply of another incarnation clears the cursors, whatever it brings. A source also sends all records to a cursor that it can't have given out.

Evidence: TestRestartedSourceThatLoadsSendsAllRecords ("holds s1 and s2 up to 4", want s2) and TestCursorFromElsewhereGetsAllRecords failed before.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -283,7 +283,11 @@
 	if isNew || response.Source == f.incarnation {
 		f.exchangedWith = response.Source
 	}
-	f.incarnation = response.Source // A source with another incarnation has ignored the cursors and sent all records.
+	if response.Source != f.incarnation {
+		// The source has ignored the cursors, and they mean nothing to it, whether or not it had anything to send.
+		clear(f.cursors)
+	}
+	f.incarnation = response.Source
 	f.sourceBehind = response.Roster != nil && response.Roster.isBefore(f.Roster())
 	if response.Roster != nil {
 		f.UpdateRoster(*response.Roster)
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -369,6 +369,42 @@
 	})
 }
 
+// TestRestartedSourceThatLoadsSendsAllRecords guards against copies that count as current but lack a removal (DRAIN): a source that starts again replies before it
+// has loaded, and a follower without another source then sends it the cursors of its former run.
+func TestRestartedSourceThatLoadsSendsAllRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := crlclock.NewMonotonic()
+		source, other := newDaemon("a1", now), newDaemon("b", now)
+		n := newNetwork(map[string]*testDaemon{"a": source})
+		source.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in"), record("s2", 1, "in")}, at(2))
+		source.replica.Confirm(now(), 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFollower(other, n, "b", "a")
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(time.Second)
+		restarted := newDaemon("a2", now)
+		n.put("a", restarted)
+		time.Sleep(200 * time.Millisecond)
+		restarted.replica.Replace([]crlplatform.KeyedRecord{record("s2", 3, "in")}, at(4))
+		restarted.replica.Confirm(now(), 0)
+		time.Sleep(time.Second)
+		if got := other.contents(); got != "map[s2:in]" || other.replica.End() != at(4) {
+			t.Errorf("the follower holds %s up to %s, want map[s2:in] up to 4", got, other.replica.End())
+		}
+		cancel()
+		time.Sleep(time.Second) // Let calls in flight return.
+	})
+}
+
+// TestCursorFromElsewhereGetsAllRecords guards against a source that takes a cursor which it has not given out for one that is up to date.
+func TestCursorFromElsewhereGetsAllRecords(t *testing.T) {
+	d := newDaemon("a", crlclock.NewMonotonic())
+	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
+	if delta := d.replica.since(2, at(1), nil); !delta.full {
+		t.Errorf("cursor 2 of 1 gets %d records, want all", len(delta.records))
+	}
+}
+
 // TestStaleRecordsAreIgnored checks that records that arrive late or twice don't overwrite newer ones.
 func TestStaleRecordsAreIgnored(t *testing.T) {
 	d := newDaemon("a", crlclock.NewMonotonic())
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -389,7 +389,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := delta{cursor: r.lastChange, end: r.end, inForce: crlid.NoPosition, confirmedAt: r.confirmedAt, loaded: r.loaded}
-	d.full = after == 0 && (end == crlid.NoPosition || end.Before(r.completeFrom)) || after > 0 && after < r.forgotten
+	d.full = after == 0 && (end == crlid.NoPosition || end.Before(r.completeFrom)) || after > 0 && (after < r.forgotten || after > r.lastChange)
 	if d.full {
 		for _, record := range r.restoration.pending {
 			d.lost = append(d.lost, versionedRecord{record: record})
