Ignore records of removed keys from before a copy is complete

Callers could see requests to a server that had left (DRAIN): its entry was back in a copy that counted as complete up to a later position.

Cause: a copy ignored records from before the position that it is complete from only for keys that it didn't hold. A key that it held as removed took them: the removal, record 1, was known, the topic was replaced by another router's up to 4, and a read of record 2 that was under way then brought the key back. Its removal 3 is behind the copy's end, so it was never read.

Change: a removed key is treated like one that isn't held.

--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -405,6 +405,19 @@
 	}
 }
 
+// TestLateReadDoesNotReviveARemovedKey guards against requests to a server that has left (DRAIN): the copy got all records from another router while a read of an
+// older record of the store was under way, and held a still older removal of the key.
+func TestLateReadDoesNotReviveARemovedKey(t *testing.T) {
+	d := newDaemon("a", crlclock.NewMonotonic())
+	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
+	d.replica.Apply([]crlplatform.KeyedRecord{record("s1", 1, "")}, at(2))
+	d.replica.Replace(nil, at(4))
+	d.replica.Apply([]crlplatform.KeyedRecord{record("s1", 2, "in")}, at(3))
+	if got := d.contents(); got != "map[]" {
+		t.Errorf("the copy, which is complete up to 4, holds %s, want nothing", got)
+	}
+}
+
 // TestStaleRecordsAreIgnored checks that records that arrive late or twice don't overwrite newer ones.
 func TestStaleRecordsAreIgnored(t *testing.T) {
 	d := newDaemon("a", crlclock.NewMonotonic())
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -48,7 +48,7 @@
 	deleted      int             // number of records that delete their keys
 	forgotten    Cursor          // the latest change whose record was dropped, see forgetDeleted, or whose position is of an earlier era
 	end          crlid.Position  // position after the last record that was read
-	completeFrom crlid.Position  // a key that isn't held had no value at this position, and each change from there to end is known
+	completeFrom crlid.Position  // a key without a value had none at this position, and each change from there to end is known
 	restoration  restoration
 	confirmedAt  crlclock.Instant
 	// confirmation is confirmedAt for readers without the lock: OnChange may take locks under which ConfirmedAt is called.
@@ -142,13 +142,14 @@
 }
 
 // apply merges records as Apply does, passes those that changed something to OnChange, and releases waiting followers. It ignores records of keys
-// that aren't held from before the position from: they may have been deleted since. The record that is in force at the source is passed to OnChange
+// without a value from before the position from: they may have been deleted since. The record that is in force at the source is passed to OnChange
 // even if a newer one of its key is held, as that may be one that the source has refused.
 func (r *Replica) apply(records []crlplatform.KeyedRecord, end, from, inForce crlid.Position) {
 	var changed, restated []crlplatform.KeyedRecord
 	for _, record := range records {
 		before, ok := r.records[record.Key]
-		if ok && !before.record.Position.Before(record.Position) || !ok && record.Position.Before(from) {
+		isHeld := ok && !before.record.Deleted
+		if ok && !before.record.Position.Before(record.Position) || !isHeld && record.Position.Before(from) {
 			if r.config.InForce != nil && record.Position == inForce && record.Position != r.inForce.record.Position {
 				changed = append(changed, record)
 			}
