State the time that is left when a request is written

Operators could see servers that were handed more time than their callers had left (BUDGET, as of requests that are sent once more): the time was computed before the connection was opened. Opening takes up to 0.3 s, and for a started stream whose dials have failed up to 1.2 s, as when a silent server's queue of connections is full and the kernel repeats the first packet after a second. The same for a handover to another router.

Change: the headers that state time are set again once there is a connection, before the request is written to it.

Suspected only to be what the users saw. Not covered: a server that is silent after its kernel has taken the connection reads the request later than it was written, and counts the stated time from then.

TestSendsCarryRemainingDeadlineAndPosition: its server reported the connection only after the second that it took to answer; it reports it first now, as servers do. What is checked is the same.

--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -182,6 +182,17 @@
 // that were granted, and the last one then lets the request be sent once more.
 func (x *exchange) grant() int { return max(x.route.Attempts-x.runs-1, 1) }
 
+// encodeHandover returns the function that sets the headers of a request that is handed over with so many granted runs.
+func (s *Service) encodeHandover(x *exchange, granted int) func(http.Header) {
+	return func(header http.Header) {
+		s.config.Dialect.EncodeHandover(header, Handover{
+			Deadline: time.Until(x.deadline), LastEvent: x.stream.lastEvent, Resumes: x.head.Resumes || x.stream.lastEvent > 0,
+		})
+		header.Set(headerRuns, strconv.Itoa(x.runs))
+		header.Set(headerRunLimit, strconv.Itoa(x.runs+granted))
+	}
+}
+
 // handOver sends the request to another router, which forwards it as if its caller had sent it there, and relays the answer.
 func (s *Service) handOver(ctx context.Context, x *exchange, peer Peer) (verdict, *Refusal) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -193,15 +204,7 @@
 	}
 	s.config.Metrics.handovers.Inc()
 	reached, paid, granted, start := x.reached, x.retryPaid, x.grant(), time.Now()
-	response, connected, err := s.roundTrip(ctx, cancel, x, peer.Address, func() {}, func(ctx context.Context) *http.Request {
-		header := x.forwardedHeader()
-		s.config.Dialect.EncodeHandover(header, Handover{
-			Deadline: time.Until(x.deadline), LastEvent: x.stream.lastEvent, Resumes: x.head.Resumes || x.stream.lastEvent > 0,
-		})
-		header.Set(headerRuns, strconv.Itoa(x.runs))
-		header.Set(headerRunLimit, strconv.Itoa(x.runs+granted))
-		return x.newRequest(ctx, peer.Address, header)
-	})
+	response, connected, err := s.roundTrip(ctx, cancel, x, peer.Address, func() {}, s.encodeHandover(x, granted))
 	if err != nil {
 		if connected {
 			x.runs += granted
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -120,37 +120,38 @@
 func (s *Service) attempt(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, pick *crlfleet.Pick, plan *modelPlan) (
 	response *http.Response, connected bool, err error,
 ) {
-	response, connected, err = s.roundTrip(ctx, cancel, x, pick.Address, s.reachability.recordConnected, func(ctx context.Context) *http.Request {
-		return s.newAttempt(ctx, x, pick, plan)
-	})
+	response, connected, err = s.roundTrip(ctx, cancel, x, pick.Address, s.reachability.recordConnected, s.encodeAttempt(x, pick, plan))
 	x.connected = x.connected || connected
 	return response, connected, err
 }
 
 // roundTrip sends the request to the server or router at an address and returns the head of the answer. connected reports whether a connection was
-// opened, so that the receiver may have the request; onConnect is called when it is. A watchdog ends the send of a repeatable request when its
+// opened, so that the receiver may have the request; onConnect is called when it is. encode sets the headers for the receiver, and again once there is a
+// connection: they state the time that is left when the request is written. A watchdog ends the send of a repeatable request when its
 // receiver becomes unreachable.
 func (s *Service) roundTrip(
-	ctx context.Context, cancel context.CancelCauseFunc, x *exchange, address string, onConnect func(),
-	newRequest func(context.Context) *http.Request,
+	ctx context.Context, cancel context.CancelCauseFunc, x *exchange, address string, onConnect func(), encode func(http.Header),
 ) (response *http.Response, connected bool, err error) {
 	var wd *watchdog
 	if x.route.Repeatable() {
 		wd = s.probes.newWatchdog(ctx, cancel, address)
 	}
 	ctx = withDialTimeout(ctx, x.dialTimeout())
+	header := x.forwardedHeader()
+	encode(header)
 	var hasConnection atomic.Bool
 	clientTrace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			hasConnection.Store(true)
 			onConnect()
+			encode(header) // The transport calls this in the goroutine of the round trip, before it writes the request.
 			if wd != nil {
 				wd.setConnection(info.Conn)
 			}
 		},
 	}
 	defer watchHead(clientTrace, cancel)()
-	response, err = s.config.Transport.RoundTrip(newRequest(httptrace.WithClientTrace(ctx, clientTrace)))
+	response, err = s.config.Transport.RoundTrip(x.newRequest(httptrace.WithClientTrace(ctx, clientTrace), address, header))
 	connected = err == nil || hasConnection.Load()
 	if connected {
 		x.reached, x.retryPaid = true, false
@@ -168,14 +169,14 @@
 	return min(dialTimeout<<x.failedDials, maxDialTimeout)
 }
 
-// newAttempt returns the request to a backend server.
-func (s *Service) newAttempt(ctx context.Context, x *exchange, pick *crlfleet.Pick, plan *modelPlan) *http.Request {
-	header := x.forwardedHeader()
-	s.config.Dialect.EncodeAttempt(header, Attempt{
-		Server: pick.Server, Organisation: x.caller.Name, Model: plan.model(), Deadline: time.Until(x.deadline),
-		LastEvent: x.stream.lastEvent, Resumes: x.head.Resumes || x.stream.lastEvent > 0, Priority: x.priority(),
-	})
-	return x.newRequest(ctx, pick.Address, header)
+// encodeAttempt returns the function that sets the headers of a send to a backend server.
+func (s *Service) encodeAttempt(x *exchange, pick *crlfleet.Pick, plan *modelPlan) func(http.Header) {
+	return func(header http.Header) {
+		s.config.Dialect.EncodeAttempt(header, Attempt{
+			Server: pick.Server, Organisation: x.caller.Name, Model: plan.model(), Deadline: time.Until(x.deadline),
+			LastEvent: x.stream.lastEvent, Resumes: x.head.Resumes || x.stream.lastEvent > 0, Priority: x.priority(),
+		})
+	}
 }
 
 // forwardedHeader returns a copy of the caller's headers, without those that apply to its connection alone.
--- a/crlforward/service_test.go
+++ b/crlforward/service_test.go
@@ -411,8 +411,9 @@
 func TestSendsCarryRemainingDeadlineAndPosition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		breaksAfterASecond := func(r *http.Request) (*http.Response, error) {
+			connect(r)
 			time.Sleep(time.Second)
-			return breaksAfter(events(1, 2))(r)
+			return newResponse(r, http.StatusOK, signed, &brokenReader{strings.NewReader(events(1, 2)), errReset}), nil
 		}
 		c := newCluster(breaksAfterASecond, answers(events(3, 4)))
 		c.call(t.Context(), "/draft/a%2Fb?q=%20", map[string]string{"X-Deadline": "9000", "X-Organisation": "forged"})
