soak: bring the store back from an older copy

The newest configuration is written again before the first call is answered, or a quarter of a second later; the servers write their entries again.

--- a/crlsoak/soak.go
+++ b/crlsoak/soak.go
@@ -46,6 +46,9 @@
 	routers              []*router
 	observations         *observations
 	faultCounts          map[string]int // number of injections by the fault's name
+	restoring            sync.Mutex     // held while the store is copied and comes back
+	published            sync.Mutex     // guards configuration
+	configuration        string         // the newest one
 	configurationVersion int            // version of the newest configuration in the store
 	keys                 []string       // valid API keys, the oldest first
 }
@@ -55,8 +58,9 @@
 	*standin.Engine
 	link     *proxy
 	server   *http.Server
-	mu       sync.Mutex // guards sequence
+	mu       sync.Mutex // guards sequence and state
 	sequence int        // number of the engine's newest entry in the store
+	state    string     // in that entry
 	leaving  sync.Mutex // held from the announcement that the engine leaves until it is ready again
 }
 
@@ -128,7 +132,42 @@
 // publishConfiguration writes the next version of the configuration, with the current API keys, to the store.
 func (s *soakRun) publishConfiguration() {
 	s.configurationVersion++
-	s.store.Put(standin.ConfigurationTopic, standin.ConfigurationKey, standin.Configuration(s.configurationVersion, s.keys))
+	s.published.Lock()
+	defer s.published.Unlock()
+	s.configuration = standin.Configuration(s.configurationVersion, s.keys)
+	s.store.Put(standin.ConfigurationTopic, standin.ConfigurationKey, s.configuration)
+}
+
+// restoreStore copies the store and, after d, brings it back from the copy after it was away for a moment. The operator writes the newest configuration and
+// the engines write their entries again, before or after the first calls are answered.
+func (s *soakRun) restoreStore(d time.Duration, late bool) {
+	const away = 500 * time.Millisecond
+	s.restoring.Lock()
+	defer s.restoring.Unlock()
+	copied := s.store.Copy()
+	time.Sleep(d)
+	s.store.SetFault(standin.FaultBusy)
+	time.Sleep(away)
+	s.published.Lock()
+	var write func(put func(topic, key, value string))
+	if !late {
+		write = func(put func(topic, key, value string)) {
+			put(standin.ConfigurationTopic, standin.ConfigurationKey, s.configuration)
+		}
+	}
+	s.store.Restore(copied, write)
+	s.store.SetFault(standin.FaultNone)
+	if late {
+		time.Sleep(away / 2)
+		s.store.Put(standin.ConfigurationTopic, standin.ConfigurationKey, s.configuration)
+	}
+	s.published.Unlock()
+	for _, e := range s.engines {
+		e.mu.Lock()
+		state := e.state
+		e.mu.Unlock()
+		s.announce(e, state)
+	}
 }
 
 // startEngine starts backend server n behind a proxy and announces the server in the store.
@@ -154,6 +193,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
+	e.state = state
 	s.store.Put(standin.ServersTopic, e.ID, standin.ServerEntry(e.link.address(), "zone-a", state, e.sequence))
 }
 
@@ -346,6 +386,7 @@
 			s.store.SetFault(standin.FaultNone)
 			return nil
 		}},
+		{"store-restored", false, func() error { s.restoreStore(d, percent%2 == 0); return nil }},
 		{"store-link-" + link.String(), false, func() error { return faultFor(d, link, r.link) }},
 		{"server-link-" + link.String(), false, func() error { return faultFor(d, link, e.link) }},
 		{"servers-cut-" + cut.String(), false, func() error { return faultFor(d, cut, r.servers...) }},
