Pause after a read from an offset that the store doesn't have

A store that comes back from an older copy without stating a new era answers each read from the former end with 410. The reader then read the newest records, which left its end as it was, and read from there again at once: as many calls to a store that has just come back as the link allows.

Found when a test of whole routers, with eras left out, did not end.

--- a/crlrouter/restoration_test.go
+++ b/crlrouter/restoration_test.go
@@ -113,6 +113,27 @@
 	})
 }
 
+// TestStoreWithoutErasThatCameBackIsReadAtIntervals guards against routers that read a store again and again without a pause: one that doesn't state its era, but has
+// come back from an older copy, doesn't have the offset that they ask for.
+func TestStoreWithoutErasThatCameBackIsReadAtIntervals(t *testing.T) {
+	runCluster(t, 1, func(store *memoryStore, _ []*Router) {
+		copied := store.copyTopics()
+		store.put("orders", "config", "2")
+		store.put("servers", "i-1", "1/v1")
+		time.Sleep(2 * time.Second)
+		store.mu.Lock()
+		store.era-- // restore raises it.
+		store.mu.Unlock()
+		store.restore(copied)
+		before := store.readCount()
+		const watched, topics, calls = 3 * time.Second, 4, 2 // two calls each time: a read and the newest records
+		time.Sleep(watched)
+		if got, most := store.readCount()-before, 2*topics*calls*int(watched/minRetryPause); got > most {
+			t.Errorf("%d reads in %s, want at most %d", got, watched, most)
+		}
+	})
+}
+
 // heartbeatCodec decodes heartbeats by the values of records.
 type heartbeatCodec struct {
 	testCodec
--- a/crlrouter/watcher.go
+++ b/crlrouter/watcher.go
@@ -123,7 +123,10 @@
 	var refused *crlplatform.Error
 	if errors.As(err, &refused) && refused.Trimmed {
 		w.config.logger.Event(EventHistoryLost, slog.String("topic", w.config.topic), slog.Int64("next", int64(from.Offset)))
-		return w.bootstrap(ctx)
+		err := w.bootstrap(ctx)
+		// A store that has come back from a copy without stating a new era answers the next read in the same way.
+		crlclock.Sleep(ctx, minRetryPause)
+		return err
 	}
 	if err != nil {
 		return err
