Bound the pages of a topic's newest records

Change: the pages of one read may have 32 MiB together; a larger topic is a failed read, and nothing of it is in force. The largest known topic is a configuration below 8 MB.

--- a/crlrouter/watcher.go
+++ b/crlrouter/watcher.go
@@ -159,6 +159,12 @@
 // errEraChanged is the error of a read of several pages between which the store came back from an older copy.
 var errEraChanged = errors.New("the pages are from two eras of the store")
 
+// maxTopicBytes bounds the replies that hold the newest records of a topic, as all of them are held at once.
+const maxTopicBytes = 32 << 20
+
+// errTopicSize is the error of a topic whose newest records exceed maxTopicBytes.
+var errTopicSize = errors.New("the newest records of the topic are larger than 32 MiB")
+
 // bootstrap replaces the content of the replica by the newest record of every key.
 func (w *watcher) bootstrap(ctx context.Context) error {
 	sentAt := w.config.now()
@@ -167,7 +173,7 @@
 	ctx, stop := crlclock.WithStallTimeout(ctx, callTimeoutMargin, callTimeoutMargin)
 	defer stop()
 	var records []crlplatform.KeyedRecord
-	after, end := "", crlid.NoPosition
+	after, end, size := "", crlid.NoPosition, 0
 	for {
 		page, more, err := w.config.store.Newest(ctx, w.config.topic, after)
 		if err != nil {
@@ -180,6 +186,9 @@
 		if page.End.Era != end.Era {
 			return errEraChanged
 		}
+		if size += page.Bytes; size > maxTopicBytes {
+			return errTopicSize
+		}
 		if !more || len(page.Records) == 0 {
 			break
 		}
