crlrelay: plainer names for what a new era brings

No behaviour changes: a variable's name and three comments, one of which said that confirmations of earlier eras are ignored, where those of any other are.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -275,8 +275,8 @@
 	}
 }
 
-// Confirm records that the replica held all records that the topic had at the given moment, as known in an era. It ignores a confirmation of an
-// earlier era than that of the replica.
+// Confirm records that the replica held all records that the topic had at the given moment, as read in an era. It ignores a confirmation of another
+// era than that of the replica.
 func (r *Replica) Confirm(at crlclock.Instant, era crlid.Era) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/crlrelay/restoration.go
+++ b/crlrelay/restoration.go
@@ -19,7 +19,7 @@
 	// Order orders two records of a key by what they state, by which a record that the copy has may be known to be older than the held one for longer than
 	// Window; ok is false if they don't tell. A deleted record has the value that its key had before. If nil, no records tell.
 	Order func(held, restored crlplatform.KeyedRecord) (order int, ok bool)
-	// OnRestated receives records that were written again without a change. It is called like OnChange; nil for a topic for which only changes count.
+	// OnRestated receives records that were not lost or were written again without a change. It is called like OnChange; nil if only changes count.
 	OnRestated func(records []crlplatform.KeyedRecord)
 	// OnRestore is called when a new era begins, with the former one, which is 0 if none was known; nil for none. The replica's lock is held.
 	OnRestore func(before, era crlid.Era)
@@ -27,7 +27,7 @@
 
 // restoration is what a replica knows about the newest copy from which the store came back.
 type restoration struct {
-	from  crlid.Position   // end of the topic when the replica first read the era; records from here on were written in it
+	from  crlid.Position   // end of the topic when the replica first read the era; records from here on are newer than the held ones
 	until crlclock.Instant // end of RestorationConfig.Window
 	// pending holds what the store has of each key whose lost record is in force, by key.
 	pending map[string]crlplatform.KeyedRecord
@@ -72,9 +72,9 @@
 			return restorationChanged
 		}
 	}
-	isWord := !record.Position.Before(r.restoration.from)
+	isNew := !record.Position.Before(r.restoration.from)
 	isLater := record.Position.Offset > held.record.Position.Offset
-	if isWord || isLater || !r.keepsLost() {
+	if isNew || isLater || !r.keepsLost() {
 		return restorationChanged
 	}
 	r.restoration.pending[record.Key] = record
