soak: lose several configurations when the store comes back

Three configurations are written between the copy of the store and its return, and only the newest again, so that later ones get offsets that routers have read before.

--- a/crlsoak/soak.go
+++ b/crlsoak/soak.go
@@ -138,13 +138,16 @@
 	s.store.Put(standin.ConfigurationTopic, standin.ConfigurationKey, s.configuration)
 }
 
-// restoreStore copies the store and, after d, brings it back from the copy after it was away for a moment. The operator writes the newest configuration and
-// the engines write their entries again, before or after the first calls are answered.
-func (s *soakRun) restoreStore(d time.Duration, late bool) {
+// lostConfigurations is the number of configurations that are written between the copy of the store and its return. Only the newest is written again, so
+// later ones get offsets that routers have read before.
+const lostConfigurations = 3
+
+// restoreStore brings the store back from a copy after d, after it was away for a moment. The operator writes the newest configuration and the engines write
+// their entries again, before or after the first calls are answered.
+func (s *soakRun) restoreStore(copied standin.Copy, d time.Duration, late bool) {
 	const away = 500 * time.Millisecond
 	s.restoring.Lock()
 	defer s.restoring.Unlock()
-	copied := s.store.Copy()
 	time.Sleep(d)
 	s.store.SetFault(standin.FaultBusy)
 	time.Sleep(away)
@@ -377,6 +380,7 @@
 	cut := []LinkFault{LinkRefused, LinkRefusesNew, LinkDropsAll}[s.random.IntN(3)]
 	store := standin.Fault(1 + s.random.IntN(len(standin.FaultValues())-1)) // any but standin.FaultNone
 	percent := int32(10 + s.random.IntN(40))                                // percentage of requests that are refused or broken off
+	var copied standin.Copy
 	unplanned := []fault{
 		{"kill", false, func() error { return r.restart(syscall.SIGKILL, d/3) }},
 		{"pause", false, func() error { return r.pause(d) }},
@@ -386,7 +390,7 @@
 			s.store.SetFault(standin.FaultNone)
 			return nil
 		}},
-		{"store-restored", false, func() error { s.restoreStore(d, percent%2 == 0); return nil }},
+		{"store-restored", false, func() error { s.restoreStore(copied, d, percent%2 == 0); return nil }},
 		{"store-link-" + link.String(), false, func() error { return faultFor(d, link, r.link) }},
 		{"server-link-" + link.String(), false, func() error { return faultFor(d, link, e.link) }},
 		{"servers-cut-" + cut.String(), false, func() error { return faultFor(d, cut, r.servers...) }},
@@ -403,6 +407,11 @@
 		s.publishConfiguration()
 	case "revoke":
 		s.revokeOldestKey()
+	case "store-restored":
+		copied = s.store.Copy()
+		for range lostConfigurations {
+			s.publishConfiguration()
+		}
 	}
 	return f
 }
