Leave the fields of eras out of the messages of an earlier version

TestConfigurationIsInForceInTimeInFleetsOfTwoVersions strips what earlier routers don't know; it strips the fields of eras too, and its store states an era, as one that has come back once.

--- a/crlrouter/two_versions_test.go
+++ b/crlrouter/two_versions_test.go
@@ -14,7 +14,10 @@
 )
 
 // newFields are the fields of messages between routers that routers of before the landing of 2026-12-04 19:54 (bf5da1f) don't know.
-var newFields = map[string]bool{"in-force": true, "await": true, "unpacks": true, "large-fleet": true, "packed": true}
+var newFields = map[string]bool{
+	"in-force": true, "await": true, "unpacks": true, "large-fleet": true, "packed": true, "era": true, "eras": true, "in-force-eras": true,
+	"in-force-eras-back": true, "eras-back": true, "lost": true,
+}
 
 // asOlder returns a message as a router that doesn't know newFields reads or writes it.
 func asOlder[T any](message T) (older T) {
@@ -102,6 +105,7 @@
 func runTwoVersions(t *testing.T, size int, isOld func(n int) bool) {
 	const versions = 7
 	store := newMemoryStore()
+	store.era = 1
 	store.put("orders", "config", "1")
 	ctx, cancel := context.WithCancel(t.Context())
 	c := newCluster(store)
