Use a server that starts again after the store came back

Callers would see (found by reading the diff, in code of this landing): after the store came back from an older copy, a server that starts again under its identifier is not used, or requests go on to its former address, for as long as its new process has fewer heartbeats than the former one had.

Cause: an entry of the new era was compared with the held one by its count of heartbeats, also where neither states when the server started, so that the counts are of two processes; and also if it was written after the return, where there is nothing to decide.

--- a/crlrelay/restoration.go
+++ b/crlrelay/restoration.go
@@ -63,6 +63,9 @@
 	if held.record.Deleted == record.Deleted && bytes.Equal(held.record.Value, record.Value) {
 		return restorationRestated
 	}
+	if !record.Position.Before(r.restoration.from) {
+		return restorationChanged
+	}
 	if order := r.config.Restoration.Order; order != nil && !record.Deleted {
 		known := held.record
 		known.Value = held.lastValue()
@@ -72,9 +75,8 @@
 			return restorationChanged
 		}
 	}
-	isNew := !record.Position.Before(r.restoration.from)
 	isLater := record.Position.Offset > held.record.Position.Offset
-	if isNew || isLater || !r.keepsLost() {
+	if isLater || !r.keepsLost() {
 		return restorationChanged
 	}
 	r.restoration.pending[record.Key] = record
--- a/crlrouter/servers.go
+++ b/crlrouter/servers.go
@@ -67,11 +67,12 @@
 	}
 }
 
-// compare orders two entries of a server by their heartbeats; ok is false if they don't tell.
+// compare orders two entries of a server by their heartbeats; ok is false if they don't tell. Heartbeats count anew in each process of the server, so they
+// tell nothing unless both entries state when theirs started.
 func (s *serverEntries) compare(a, b crlplatform.KeyedRecord) (order int, ok bool) {
 	first, isFirst := s.codec.DecodeHeartbeat(a)
 	second, isSecond := s.codec.DecodeHeartbeat(b)
-	if !isFirst || !isSecond || first.StartedAt.IsZero() != second.StartedAt.IsZero() {
+	if !isFirst || !isSecond || first.StartedAt.IsZero() || second.StartedAt.IsZero() {
 		return 0, false
 	}
 	return cmp.Or(first.StartedAt.Compare(second.StartedAt), cmp.Compare(first.Count, second.Count)), true
