--- a/crlrelay/restoration.go
+++ b/crlrelay/restoration.go
@@ -33,6 +33,8 @@
 	pending map[string]crlplatform.KeyedRecord
 }
 
+//go:generate go run github.com/dmarkham/enumer -type=restorationVerdict -trimprefix=restoration -transform=kebab -text -output=restorationverdict_enumer.go
+
 // restorationVerdict is what a record of a newer era means for the held record of its key.
 type restorationVerdict int
 
