crlrelay: drop a key whose older deletion a source holds

Callers would see (DRAIN): requests to a server that has left, from a router whose copy counts as complete past the departure.

Cause: a router takes all records of a source and drops the keys that are not among them. A deletion counts as a record. A source that held the deletion of a key, then got all records of another one after the key had come back and been deleted again, still holds the first deletion; its followers kept the key.

A server that lapses in an outage, comes back and leaves makes such keys.

Change: a deletion that is older than the held record keeps no key.

Evidence: TestOlderDeletionKeepsNoKey held s1 before.

--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -418,6 +418,17 @@
 	}
 }
 
+// TestOlderDeletionKeepsNoKey guards against requests to a server that has left (DRAIN): a source that got all records after the server's second departure still
+// held the deletion of the first one, and its followers took the key for one that it has.
+func TestOlderDeletionKeepsNoKey(t *testing.T) {
+	d := newDaemon("a", crlclock.NewMonotonic())
+	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 1, "in")}, at(2))
+	d.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "")}, at(3))
+	if got := d.contents(); got != "map[]" {
+		t.Errorf("the copy, which is complete up to 3, holds %s, want nothing", got)
+	}
+}
+
 // TestStaleRecordsAreIgnored checks that records that arrive late or twice don't overwrite newer ones.
 func TestStaleRecordsAreIgnored(t *testing.T) {
 	d := newDaemon("a", crlclock.NewMonotonic())
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -111,13 +111,16 @@
 	if r.loaded && end.Era > r.end.Era {
 		r.beginRestoration(end)
 	}
-	present := make(map[string]bool, len(records))
+	stated := make(map[string]crlplatform.KeyedRecord, len(records))
 	for _, record := range records {
-		present[record.Key] = true
+		stated[record.Key] = record
 	}
 	all := slices.Clone(records)
 	for key, held := range r.records {
-		if present[key] || held.record.Deleted || !held.record.Position.Before(end) {
+		// A source may have an older deletion of the key: it got all records after a later one.
+		record, isStated := stated[key]
+		isPresent := isStated && (!record.Deleted || !record.Position.Before(held.record.Position))
+		if isPresent || held.record.Deleted || !held.record.Position.Before(end) {
 			continue
 		}
 		deletion := crlplatform.KeyedRecord{Key: key, Deleted: true, Position: end.Previous()}
