crlrelay: use a cursor only where its source ended

Callers would see (DRAIN): requests to a server that has left, from a router whose copy counts as complete past the departure.

Cause: a cursor brings what changed at its source. A source that takes all records of another one at once doesn't learn of keys that came and went in between, so nothing changes there. A follower that had read such a key in the store, before or during the call, went on to the source's end and kept it. A router reads the store and follows others while the store fails in part.

Change: a follower keeps with each cursor where its source ended, and sends the cursor only while its replica ends there; otherwise it states its end, from which a source knows each change or sends all records. Changes that arrive after the replica has moved on are ignored. A source holds the call of a follower without a cursor that has called it before, instead of replying at once.

The models of copies follow with the Follower and the Server of the routers, call sources that have not loaded, and lose replies; what they did by themselves is gone.

--- a/crlrelay/follower.go
+++ b/crlrelay/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -75,7 +76,7 @@
 	drawn        float64          // part of the longest patience that this daemon has, from 0 to 1
 	storeFrom    crlclock.Instant // from when this daemon may read the store for want of a source
 	source       Member
-	cursors      map[Topic]Cursor
+	cursors      map[Topic]heldCursor
 	sourceBehind bool              // whether the source's roster was older than this daemon's in its latest response
 	incarnation  crlid.Incarnation // incarnation of the source when it sent the cursors; empty before its first response
 	// exchangedWith is the incarnation of the source that got the Exchange's first message; another one needs that message too.
@@ -89,12 +90,18 @@
 	cause         string                      // why the latest call failed, or its confirmations were too old
 }
 
+// heldCursor is a cursor of a source, and where the source ended when it sent it.
+type heldCursor struct {
+	cursor Cursor
+	end    crlid.Position
+}
+
 // NewFollower returns a Follower without a roster or seeds.
 func NewFollower(config FollowerConfig) *Follower {
 	if config.Exchange == nil {
 		config.Exchange = noExchange{}
 	}
-	f := &Follower{config: config, cursors: make(map[Topic]Cursor), failedAt: make(map[string]crlclock.Instant), drawn: rand.Float64()}
+	f := &Follower{config: config, cursors: make(map[Topic]heldCursor), failedAt: make(map[string]crlclock.Instant), drawn: rand.Float64()}
 	f.place = findPlace(f.roster, f.seeds, config.Self)
 	return f
 }
@@ -264,13 +271,7 @@
 	wait, limit := f.callTimes()
 	ctx, stop := withLimit(ctx, limit)
 	defer stop()
-	request := FollowRequest{
-		Source: f.incarnation, Cursors: f.cursors, MaxWait: Milliseconds(wait.Milliseconds()), RosterDigest: f.Roster().digest(),
-		Self: f.selfWithoutRoster(), Roster: f.rosterForSource(), Exchange: f.config.Exchange.Request(isNew), Await: f.await(), Decompresses: true,
-		Unpacks: true, LargeFleet: f.inLargeFleet(),
-	}
-	request.Ends, request.Eras = splitPositions(f.ends())
-	request.InForce, request.InForceEras = splitPositions(f.inForce())
+	request := f.request(wait, isNew)
 	err := f.config.Peers.Call(ctx, source.Address, MethodFollow, request, &response)
 	if err != nil {
 		f.cause = err.Error()
@@ -286,6 +287,7 @@
 	if response.Source != f.incarnation {
 		// The source has ignored the cursors, and they mean nothing to it, whether or not it had anything to send.
 		clear(f.cursors)
+		clear(request.Cursors)
 	}
 	f.incarnation = response.Source
 	f.sourceBehind = response.Roster != nil && response.Roster.isBefore(f.Roster())
@@ -301,11 +303,24 @@
 		return true
 	}
 	f.redirects = 0
-	fresh := f.apply(response, sentAt)
+	fresh := f.apply(response, request.Cursors, sentAt)
 	f.logCall(response, sentAt, fresh)
 	return fresh
 }
 
+// request returns the next request to the source; isNew tells whether the source lacks the Exchange's first message.
+func (f *Follower) request(wait time.Duration, isNew bool) FollowRequest {
+	ends := f.ends()
+	request := FollowRequest{
+		Source: f.incarnation, Cursors: f.cursorsAt(ends), MaxWait: Milliseconds(wait.Milliseconds()), RosterDigest: f.Roster().digest(),
+		Self: f.selfWithoutRoster(), Roster: f.rosterForSource(), Exchange: f.config.Exchange.Request(isNew), Await: f.await(), Decompresses: true,
+		Unpacks: true, LargeFleet: f.inLargeFleet(),
+	}
+	request.Ends, request.Eras = splitPositions(ends)
+	request.InForce, request.InForceEras = splitPositions(f.inForce())
+	return request
+}
+
 // logCall logs a call that ended now, unless it was as expected. age-ms is that of the source's oldest confirmation when it replied, negative if the
 // source had none or didn't reply.
 func (f *Follower) logCall(response FollowResponse, sentAt crlclock.Instant, fresh bool) {
@@ -361,6 +376,18 @@
 	return &roster
 }
 
+// cursorsAt returns the cursors of the replicas that end where their source did. A replica that was read from the store since then may hold keys that the
+// source doesn't know to be deleted.
+func (f *Follower) cursorsAt(ends map[Topic]crlid.Position) map[Topic]Cursor {
+	cursors := make(map[Topic]Cursor, len(f.cursors))
+	for topic, held := range f.cursors {
+		if ends[topic] == held.end {
+			cursors[topic] = held.cursor
+		}
+	}
+	return cursors
+}
+
 // ends returns the positions up to which this daemon's loaded replicas are complete.
 func (f *Follower) ends() map[Topic]crlid.Position {
 	ends := make(map[Topic]crlid.Position, len(f.config.Replicas))
@@ -388,7 +415,9 @@
 //
 // The source replied no earlier than the sending of the call plus the time that it held the call. A confirmation dates from
 // that moment, less its age at the source, so it never looks newer than it is.
-func (f *Follower) apply(response FollowResponse, sentAt crlclock.Instant) bool {
+//
+// cursors are those that the source has used.
+func (f *Follower) apply(response FollowResponse, cursors map[Topic]Cursor, sentAt crlclock.Instant) bool {
 	for topic, replica := range f.config.Replicas {
 		if delta, ok := response.Topics[topic]; !replica.config.Optional && (!ok || delta.ConfirmationAge < 0) {
 			f.cause = string(topic) + " has no confirmation at the source"
@@ -403,11 +432,22 @@
 			continue
 		}
 		confirmedAt := f.confirmedAt(sentAt, response.HeldFor, delta.ConfirmationAge)
-		if err := delta.applyTo(replica, confirmedAt); err != nil {
+		var after *crlid.Position
+		if _, ok := cursors[topic]; ok {
+			end := f.cursors[topic].end
+			after = &end
+		}
+		switch end, err := delta.applyTo(replica, after, confirmedAt); {
+		case errors.Is(err, errOtherEnd):
+			// The store was read meanwhile; the next call gets what comes after that.
+			delete(f.cursors, topic)
+			confirmedAt = replica.ConfirmedAt()
+		case err != nil:
 			f.cause = fmt.Sprintf("%s: %v", topic, err)
 			return false
+		default:
+			f.cursors[topic] = heldCursor{delta.Cursor, end}
 		}
-		f.cursors[topic] = delta.Cursor
 		if replica.config.Optional {
 			continue
 		}
--- a/crlrelay/message.go
+++ b/crlrelay/message.go
@@ -132,31 +132,35 @@
 var (
 	errEarlierEra = errors.New("the source is in an earlier era of the store")
 	errOtherEra   = errors.New("changes of another era of the store")
+	errOtherEnd   = errors.New("changes since another end of the replica")
 )
 
-// applyTo merges a delta into a replica and confirms it as of the given moment. A source of an earlier version is taken to be in the replica's era.
-func (d TopicDelta) applyTo(replica *Replica, confirmedAt crlclock.Instant) error {
+// applyTo merges a delta into a replica, confirms it as of the given moment, and returns where the source ended. after is where the replica ended when the
+// source was sent a cursor, nil if it was sent none. A source of an earlier version is taken to be in the replica's era.
+func (d TopicDelta) applyTo(replica *Replica, after *crlid.Position, confirmedAt crlclock.Instant) (end crlid.Position, err error) {
 	if d.Era == nil {
 		era := replica.End().Era
 		d.Era = &era
 	}
+	end = crlid.Position{Era: d.era(), Offset: d.End}
 	records, err := d.decodeAll()
 	if err != nil {
-		return err
+		return end, err
 	}
 	lost, err := decodeRecords(d.Lost, d.era())
 	if err != nil {
-		return err
+		return end, err
 	}
-	end := crlid.Position{Era: d.era(), Offset: d.End}
-	switch {
-	case d.Full && !replica.replaceFrom(records, lost, end, d.inForce()):
-		return errEarlierEra
-	case !d.Full && !replica.applyFrom(records, end, d.inForce()):
-		return errOtherEra
+	if !d.Full {
+		err = replica.applyFrom(records, end, after, d.inForce())
+	} else if !replica.replaceFrom(records, lost, end, d.inForce()) {
+		err = errEarlierEra
+	}
+	if err != nil {
+		return end, err
 	}
 	replica.Confirm(confirmedAt, end.Era)
-	return nil
+	return end, nil
 }
 
 // Member is one daemon of the roster, identified by its address: a daemon that restarts is the same member.
--- a/crlrelay/relay_test.go
+++ b/crlrelay/relay_test.go
@@ -429,6 +429,47 @@
 	}
 }
 
+// TestFollowerThatReadsTheStoreLearnsOfDeletions guards against requests to a server that has left (DRAIN): a follower had read of it in the store, and its source,
+// which got all records after the server had left, had never known it.
+func TestFollowerThatReadsTheStoreLearnsOfDeletions(t *testing.T) {
+	for _, duringCall := range []bool{false, true} {
+		now := func() crlclock.Instant { return crlclock.Instant(time.Hour) }
+		source, follower := newDaemon("a", now), newDaemon("b", now)
+		source.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
+		source.replica.Confirm(now(), 0)
+		var link modelLink
+		link.start(follower.replica, 1, now)
+		link.call("a", source.server)
+		link.end(true)
+		readStore := func() { follower.replica.Apply([]crlplatform.KeyedRecord{record("s2", 1, "in")}, at(2)) }
+		if !duringCall {
+			readStore()
+		}
+		source.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(3))
+		link.call("a", source.server)
+		if duringCall {
+			readStore()
+		}
+		link.end(true)
+		link.call("a", source.server)
+		link.end(true)
+		if got := follower.contents(); got != "map[s1:in]" || follower.replica.End() != at(3) {
+			t.Errorf("read during a call %v: the follower holds %s up to %s, want s1 up to 3", duringCall, got, follower.replica.End())
+		}
+	}
+}
+
+// TestFollowerAheadOfItsSourceIsHeld checks that a follower that has read more than its source isn't answered at once, call after call.
+func TestFollowerAheadOfItsSourceIsHeld(t *testing.T) {
+	source := newDaemon("a", crlclock.NewMonotonic())
+	source.replica.Replace([]crlplatform.KeyedRecord{record("s1", 0, "in")}, at(1))
+	ends, eras := splitPositions(map[Topic]crlid.Position{testTopic: at(2)})
+	response, err := source.server.Follow(t.Context(), FollowRequest{Source: "a", Ends: ends, Eras: eras, MaxWait: 50})
+	if err != nil || response.HeldFor < 50 {
+		t.Errorf("held for %d ms with error %v, want 50", response.HeldFor, err)
+	}
+}
+
 // TestStaleRecordsAreIgnored checks that records that arrive late or twice don't overwrite newer ones.
 func TestStaleRecordsAreIgnored(t *testing.T) {
 	d := newDaemon("a", crlclock.NewMonotonic())
--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -79,19 +79,24 @@
 // Records no newer than the one held for their key are ignored, so records may arrive late or twice. Apply returns false, and ignores all of
 // them, if they were read in another era than that of the replica.
 func (r *Replica) Apply(records []crlplatform.KeyedRecord, end crlid.Position) bool {
-	return r.applyFrom(records, end, crlid.NoPosition)
+	return r.applyFrom(records, end, nil, crlid.NoPosition) == nil
 }
 
-// applyFrom merges records as Apply does. inForce is the position of the record among them that is in force at their source, [crlid.NoPosition] for
-// none.
-func (r *Replica) applyFrom(records []crlplatform.KeyedRecord, end, inForce crlid.Position) bool {
+// applyFrom merges records as Apply does. They are what changed at their source since the replica ended at the position after; nil stands for records that
+// follow each other in the topic. inForce is the position of the record among them that is in force at their source, [crlid.NoPosition] for none.
+//
+// What changed at a source doesn't tell which keys were deleted before it got all records at once, so that a replica that ends elsewhere may hold them.
+func (r *Replica) applyFrom(records []crlplatform.KeyedRecord, end crlid.Position, after *crlid.Position, inForce crlid.Position) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if after != nil && r.end != *after {
+		return errOtherEnd
+	}
 	if r.end != crlid.NoPosition && end.Era != r.end.Era {
-		return false
+		return errOtherEra
 	}
 	r.apply(records, end, r.completeFrom, inForce)
-	return true
+	return nil
 }
 
 // Replace merges the newest records of all keys and marks the replica as loaded. A key that is held but not among them was
--- a/crlrelay/replica_model_test.go
+++ b/crlrelay/replica_model_test.go
@@ -1,16 +1,80 @@
 package crlrelay
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
 	"github.com/cranberrylock/cranberrylock/crlid"
+	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlpeer"
 	"github.com/cranberrylock/cranberrylock/crlplatform"
 )
 
+// modelLink follows other routers of a model with the Follower and the Servers that the routers use. At most one call is under way; its reply is made when
+// the call begins and arrives later.
+type modelLink struct {
+	follower *Follower
+	server   *Server
+	source   *Server       // of the call under way
+	replied  chan struct{} // closed once the source has made its reply
+	arrives  chan bool     // whether the reply arrives; nil without a call
+	ended    chan struct{}
+}
+
+// start connects a replica of a router that starts.
+func (l *modelLink) start(replica *Replica, incarnation int, now crlclock.Clock) {
+	l.end(false)
+	replicas := map[Topic]*Replica{testTopic: replica}
+	l.server = NewServer(ServerConfig{
+		Self: crlid.Incarnation(fmt.Sprint(incarnation)), Replicas: replicas, Roster: func() Roster { return Roster{} }, Now: now,
+	})
+	l.follower = NewFollower(FollowerConfig{
+		Replicas: replicas, ApplyOrder: []Topic{testTopic}, Peers: l, Now: now, Log: crllog.New(crllog.Config{Output: io.Discard}),
+		MaxAge: map[Topic]time.Duration{testTopic: time.Second}, StoreFailing: func() bool { return false },
+	})
+}
+
+// call begins a call to a source if none is under way.
+func (l *modelLink) call(address string, source *Server) {
+	if l.arrives != nil {
+		return
+	}
+	l.source, l.replied, l.arrives, l.ended = source, make(chan struct{}), make(chan bool), make(chan struct{})
+	go func() {
+		defer close(l.ended)
+		l.follower.follow(context.Background(), Member{Address: address})
+	}()
+	<-l.replied
+}
+
+// end ends the call under way, if any; its reply may be lost.
+func (l *modelLink) end(arrives bool) {
+	if l.arrives != nil {
+		l.arrives <- arrives
+		<-l.ended
+		l.arrives = nil
+	}
+}
+
+// Call passes a request of the follower to the source.
+func (l *modelLink) Call(ctx context.Context, _ string, _ crlpeer.Method, params, result any) error {
+	request := params.(FollowRequest)
+	request.MaxWait = 0
+	response, err := l.source.Follow(ctx, request)
+	close(l.replied)
+	if err != nil || !<-l.arrives {
+		return errCut
+	}
+	*result.(*FollowResponse) = response
+	return nil
+}
+
 // modelTopic is the topic of the store, as a log of all its records.
 type modelTopic []crlplatform.KeyedRecord
 
@@ -25,20 +89,20 @@
 
 // modelNode is a router with a replica of the topic. At most one read of the store and one call to another router are under way.
 type modelNode struct {
+	modelLink
 	replica     *Replica
 	incarnation int
 	read        func()
-	reply       func()
-	source      string // the router and incarnation that cursor is of
-	cursor      Cursor
 }
 
+// modelNow is the time in a model whose clock stands still.
+func modelNow() crlclock.Instant { return crlclock.Instant(time.Hour) }
+
 func (n *modelNode) restart() {
-	n.replica = NewReplica(ReplicaConfig{
-		OnChange: func([]crlplatform.KeyedRecord, crlclock.Instant) {}, Now: func() crlclock.Instant { return 0 },
-	})
+	n.replica = NewReplica(ReplicaConfig{OnChange: func([]crlplatform.KeyedRecord, crlclock.Instant) {}, Now: modelNow})
 	n.incarnation++
-	n.read, n.reply, n.source, n.cursor = nil, nil, "", 0
+	n.read = nil
+	n.start(n.replica, n.incarnation, modelNow)
 }
 
 // readStore begins a read of the store, from the replica's end on or of all keys. What it reads arrives later.
@@ -46,7 +110,10 @@
 	end := crlid.Offset(len(topic))
 	if from := n.replica.End().Offset; n.replica.Loaded() && from >= 0 {
 		records := topic[from:end:end]
-		n.read = func() { n.replica.Apply(records, at(end)) }
+		n.read = func() {
+			n.replica.Apply(records, at(end))
+			n.replica.Confirm(modelNow(), 0)
+		}
 		return
 	}
 	var records []crlplatform.KeyedRecord
@@ -55,35 +122,17 @@
 			records = append(records, record)
 		}
 	}
-	n.read = func() { n.replica.Replace(records, at(end)) }
+	n.read = func() {
+		n.replica.Replace(records, at(end))
+		n.replica.Confirm(modelNow(), 0)
+	}
 }
 
-// follow begins a call to another router, whose reply arrives later.
-func (n *modelNode) follow(name string, source *modelNode) {
-	if !source.replica.Loaded() {
-		return
-	}
-	identity := fmt.Sprint(name, source.incarnation)
-	if identity != n.source {
-		n.source, n.cursor = identity, 0
-	}
-	end := crlid.NoPosition
-	if n.replica.Loaded() {
-		end = n.replica.End()
-	}
-	d := source.replica.since(n.cursor, end, nil)
-	var records []crlplatform.KeyedRecord
-	for _, held := range d.records {
-		records = append(records, held.record)
-	}
-	n.reply = func() {
-		n.cursor = d.cursor
-		if d.full {
-			n.replica.Replace(records, d.end)
-		} else {
-			n.replica.Apply(records, d.end)
-		}
-	}
+// catchUp reads the store to its end, instead of a read that is under way.
+func (n *modelNode) catchUp(topic modelTopic) {
+	n.readStore(topic)
+	n.read()
+	n.read = nil
 }
 
 // check returns an error if the replica isn't what the topic had at the end that it states, or has older records of some keys than it.
@@ -137,17 +186,22 @@
 			},
 			"call": func(t *rapid.T) {
 				from, to := pick(t, "follower"), pick(t, "source")
-				if from != to && nodes[from].reply == nil {
-					nodes[from].follow(fmt.Sprint(to, "/"), nodes[to])
+				if from != to {
+					nodes[from].call(fmt.Sprint(to), nodes[to].server)
 				}
 			},
-			"reply arrives": func(t *rapid.T) {
-				if n := nodes[pick(t, "follower")]; n.reply != nil {
-					n.reply()
-					n.reply = nil
+			"read at once": func(t *rapid.T) { nodes[pick(t, "reader")].catchUp(topic) },
+			"call at once": func(t *rapid.T) {
+				from, to := pick(t, "follower"), pick(t, "source")
+				if from != to {
+					nodes[from].end(true)
+					nodes[from].call(fmt.Sprint(to), nodes[to].server)
+					nodes[from].end(true)
 				}
 			},
-			"restart": func(t *rapid.T) { nodes[pick(t, "restarted")].restart() },
+			"reply arrives": func(t *rapid.T) { nodes[pick(t, "follower")].end(true) },
+			"reply is lost": func(t *rapid.T) { nodes[pick(t, "follower")].end(false) },
+			"restart":       func(t *rapid.T) { nodes[pick(t, "restarted")].restart() },
 			"": func(t *rapid.T) {
 				for i, n := range nodes {
 					if err := n.check(topic); err != nil {
@@ -157,8 +211,8 @@
 			},
 		})
 		for i, n := range nodes {
-			n.readStore(topic)
-			n.read()
+			n.end(false)
+			n.catchUp(topic)
 			if end := n.replica.End().Offset; end != crlid.Offset(len(topic)) {
 				t.Errorf("router %d: complete to %d after a read of %d records", i, end, len(topic))
 			}
--- a/crlrelay/restoration_model_test.go
+++ b/crlrelay/restoration_model_test.go
@@ -27,6 +27,13 @@
 	written map[string]crlplatform.KeyedRecord // newest writes
 }
 
+func newModelStore() *modelStore {
+	return &modelStore{
+		numbers: make(map[crlid.Position]int), newest: make(map[string]int), lost: make(map[string]crlplatform.KeyedRecord),
+		written: make(map[string]crlplatform.KeyedRecord),
+	}
+}
+
 func (s *modelStore) end() crlid.Position {
 	return crlid.Position{Era: s.era, Offset: crlid.Offset(len(s.records))}
 }
@@ -98,12 +105,10 @@
 
 // eraNode is a router with a replica of the topic of a modelStore. At most one read of the store and one call to another router are under way.
 type eraNode struct {
+	modelLink
 	replica     *Replica
 	incarnation int
 	read        func()
-	reply       func()
-	source      string
-	cursor      Cursor
 	values      map[string]int // what is in force, by key
 	seen        map[string]int // the highest number that was in force, by key
 	failure     error
@@ -118,7 +123,9 @@
 			return cmp.Compare(before, after), errBefore == nil && errAfter == nil
 		}
 	}
+	n.end(false)
 	*n = eraNode{replica: NewReplica(config), incarnation: n.incarnation + 1, values: make(map[string]int), seen: make(map[string]int)}
+	n.start(n.replica, n.incarnation, now)
 }
 
 func (n *eraNode) apply(records []crlplatform.KeyedRecord, _ crlclock.Instant) {
@@ -136,38 +143,15 @@
 }
 
 // readStore begins a read of the store, as a watcher does. What it reads arrives later.
-func (n *eraNode) readStore(s *modelStore) {
+func (n *eraNode) readStore(s *modelStore, now crlclock.Instant) {
 	from, end := n.replica.End(), s.end()
+	apply, records := n.replica.Replace, s.newestRecords()
 	if n.replica.Loaded() && from.Era == end.Era && !end.Before(from) {
-		records := s.records[from.Offset:end.Offset:end.Offset]
-		n.read = func() { n.replica.Apply(records, end) }
-		return
-	}
-	records := s.newestRecords()
-	n.read = func() { n.replica.Replace(records, end) }
-}
-
-// follow begins a call to another router, whose reply arrives later.
-func (n *eraNode) follow(name int, source *eraNode) {
-	if !source.replica.Loaded() {
-		return
+		apply, records = n.replica.Apply, s.records[from.Offset:end.Offset:end.Offset]
 	}
-	if identity := fmt.Sprint(name, "/", source.incarnation); identity != n.source {
-		n.source, n.cursor = identity, 0
-	}
-	end := crlid.NoPosition
-	if n.replica.Loaded() {
-		end = n.replica.End()
-	}
-	d := source.replica.since(n.cursor, end, nil)
-	message := TopicDelta{
-		Full: d.full, Cursor: d.cursor, Era: &d.end.Era, End: d.end.Offset, Records: d.messages(false),
-		Lost: encodeRecords(d.lost, d.end.Era, false),
-	}
-	n.reply = func() {
-		if message.applyTo(n.replica, 0) == nil {
-			n.cursor = message.Cursor
-		}
+	n.read = func() {
+		apply(records, end)
+		n.replica.Confirm(now, end.Era)
 	}
 }
 
@@ -185,10 +169,7 @@
 func runRestorations(t *rapid.T, ordered bool) {
 	clock := crlclock.Instant(time.Hour)
 	now := func() crlclock.Instant { return clock }
-	store := &modelStore{
-		numbers: make(map[crlid.Position]int), newest: make(map[string]int), lost: make(map[string]crlplatform.KeyedRecord),
-		written: make(map[string]crlplatform.KeyedRecord),
-	}
+	store := newModelStore()
 	nodes := make([]*eraNode, 3)
 	for i := range nodes {
 		nodes[i] = &eraNode{}
@@ -207,13 +188,13 @@
 			for store.writeAgain() {
 			}
 			for _, n := range nodes {
-				n.catchUp(store)
+				n.catchUp(store, clock)
 			}
 			clock = clock.Add(modelWindow)
 		},
 		"read": func(t *rapid.T) {
 			if n := node(t, "reader"); n.read == nil {
-				n.readStore(store)
+				n.readStore(store, clock)
 			}
 		},
 		"read arrives": func(t *rapid.T) {
@@ -224,17 +205,22 @@
 		},
 		"call": func(t *rapid.T) {
 			to := rapid.IntRange(0, len(nodes)-1).Draw(t, "source")
-			if n := node(t, "follower"); n != nodes[to] && n.reply == nil {
-				n.follow(to, nodes[to])
+			if n := node(t, "follower"); n != nodes[to] {
+				n.call(fmt.Sprint(to), nodes[to].server)
 			}
 		},
-		"reply arrives": func(t *rapid.T) {
-			if n := node(t, "follower"); n.reply != nil {
-				n.reply()
-				n.reply = nil
+		"read at once": func(t *rapid.T) { node(t, "reader").catchUp(store, clock) },
+		"call at once": func(t *rapid.T) {
+			to := rapid.IntRange(0, len(nodes)-1).Draw(t, "source")
+			if n := node(t, "follower"); n != nodes[to] {
+				n.end(true)
+				n.call(fmt.Sprint(to), nodes[to].server)
+				n.end(true)
 			}
 		},
-		"restart": func(t *rapid.T) { node(t, "restarted").restart(now, ordered) },
+		"reply arrives": func(t *rapid.T) { node(t, "follower").end(true) },
+		"reply is lost": func(t *rapid.T) { node(t, "follower").end(false) },
+		"restart":       func(t *rapid.T) { node(t, "restarted").restart(now, ordered) },
 		"": func(t *rapid.T) {
 			for i, n := range nodes {
 				if n.failure != nil {
@@ -246,10 +232,9 @@
 	for store.writeAgain() {
 	}
 	for i, n := range nodes {
-		n.catchUp(store)
+		n.catchUp(store, clock)
 		clock = clock.Add(modelWindow)
-		n.catchUp(store)
-		n.replica.Confirm(clock, store.era)
+		n.catchUp(store, clock)
 		for _, key := range modelKeys {
 			want := store.newest[key]
 			if store.written[key].Deleted {
@@ -263,9 +248,9 @@
 }
 
 // catchUp reads the store to its end.
-func (n *eraNode) catchUp(s *modelStore) {
-	n.reply = nil
-	n.readStore(s)
+func (n *eraNode) catchUp(s *modelStore, now crlclock.Instant) {
+	n.end(false)
+	n.readStore(s, now)
 	n.read()
 	n.read = nil
 }
--- a/crlrelay/serve.go
+++ b/crlrelay/serve.go
@@ -166,7 +166,8 @@
 	anyChanged := make(chan struct{}, 1)
 	for topic, replica := range s.config.Replicas {
 		changed := replica.Changes(request.Cursors[topic])
-		if end, ok := request.end(topic); ok && request.Await != nil && request.Cursors[topic] == 0 {
+		hasCalled := request.Source == s.config.Self
+		if end, ok := request.end(topic); ok && (hasCalled || request.Await != nil) && request.Cursors[topic] == 0 {
 			changed = replica.changesFrom(end, request.inForce(topic))
 		}
 		go func() {
