crlrelay: keep the newest of what the store has of a lost record

Cause: a router that first read the new era without the key notes "deleted" for the end of the window. From another router it learns that the store has the record again, but a key that was noted kept its first note; the replica's end moved past the new record, so it was not read either.

Change: the note with the later position counts.

Evidence: TestRoutersPassOnLostRecords (a record that the source holds back) had no record in force after the window, want the third write.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -130,7 +130,7 @@
 		}
 		deletion := crlplatform.KeyedRecord{Key: key, Deleted: true, Position: end.Previous()}
 		if held.record.Position.Era < end.Era && r.keepsLost() {
-			r.restoration.pending[key] = deletion
+			r.setPending(deletion)
 		} else {
 			all = append(all, deletion)
 		}
--- a/crlrelay/restoration.go
+++ b/crlrelay/restoration.go
@@ -81,10 +81,17 @@
 	if isLater || !r.keepsLost() {
 		return restorationChanged
 	}
-	r.restoration.pending[record.Key] = record
+	r.setPending(record)
 	return restorationKept
 }
 
+// setPending notes what the store has of a key whose lost record is in force.
+func (r *Replica) setPending(record crlplatform.KeyedRecord) {
+	if known, ok := r.restoration.pending[record.Key]; !ok || known.Position.Before(record.Position) {
+		r.restoration.pending[record.Key] = record
+	}
+}
+
 // keepsLost reports whether records that the store has lost stay in force.
 func (r *Replica) keepsLost() bool {
 	return r.restoration.pending != nil && (r.config.Restoration.Own || r.config.Now() < r.restoration.until)
@@ -96,9 +103,8 @@
 		r.restoration = r.newRestoration(end)
 	}
 	for _, record := range lost {
-		_, known := r.restoration.pending[record.Key]
-		if held, ok := r.records[record.Key]; ok && !known && held.record.Position.Era < end.Era {
-			r.restoration.pending[record.Key] = record
+		if held, ok := r.records[record.Key]; ok && held.record.Position.Era < end.Era {
+			r.setPending(record)
 		}
 	}
 }
