crlrelay: apply what a source knows of the new era but holds back

Callers would see (DRAIN): after the store came back from an older copy, one router sends requests to a server that has left, for good.

Cause: a source keeps a record of the former era in force for the window, and states beside it what the store has, a deletion. A follower that had read the key in the new era took the source's older record for one that is present, moved past the deletion and never read it.

Change: for keys whose records are of the new era at the follower, what the store has counts.

Evidence: TestRoutersPassOnLostRecords (a deletion that the source holds back) had the second write in force after the window, want none.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -121,6 +121,11 @@
 		stated[record.Key] = record
 	}
 	all := slices.Clone(records)
+	for _, record := range lost {
+		if held, ok := r.records[record.Key]; ok && held.record.Position.Era == end.Era {
+			all, stated[record.Key] = append(all, record), record
+		}
+	}
 	for key, held := range r.records {
 		// A source may have an older deletion of the key: it got all records after a later one.
 		record, isStated := stated[key]
--- a/crlrelay/restoration_test.go
+++ b/crlrelay/restoration_test.go
@@ -16,6 +16,12 @@
 		play    func(store *modelStore, source, follower *eraNode, now crlclock.Instant)
 		want    int // write of the key that is in force at the follower in the end, 0 for none
 	}{
+		{"a deletion that the source holds back", false, func(store *modelStore, source, follower *eraNode, now crlclock.Instant) {
+			store.restore(2)
+			follower.catchUp(store, now)
+			store.write("a", true)
+			source.catchUp(store, now)
+		}, 0},
 		{"a record that the source holds back", false, func(store *modelStore, source, follower *eraNode, now crlclock.Instant) {
 			store.restore(0)
 			follower.catchUp(store, now)
