crlrelay: let a router that starts join the restoration of its source

Callers would see (CONFIG): a router that starts just after the store came back from an older copy goes back to what a newer record replaced.

Cause: a router that starts gets the records in force from another one, some of the former era. It had not seen the store come back, so it took the older record of the copy, which its own read of the store brought later, for a new one.

Change: records of a former era from a source begin the restoration, as its notes of lost records did.

Evidence: TestRoutersPassOnLostRecords (an older record that a router which starts has read late): the first write was in force after the second.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -116,6 +116,7 @@
 	if r.loaded && end.Era > r.end.Era {
 		r.beginRestoration(end)
 	}
+	r.joinRestoration(records, lost, end)
 	stated := make(map[string]crlplatform.KeyedRecord, len(records))
 	for _, record := range records {
 		stated[record.Key] = record
--- a/crlrelay/restoration.go
+++ b/crlrelay/restoration.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlclock"
@@ -54,6 +55,15 @@
 	}
 }
 
+// joinRestoration prepares for records of a source that began the era's restoration before: records that are in force although the store has lost them.
+func (r *Replica) joinRestoration(records, lost []crlplatform.KeyedRecord, end crlid.Position) {
+	isEarlier := func(record crlplatform.KeyedRecord) bool { return record.Position.Era < end.Era }
+	isNew := r.restoration.from.Era < end.Era && slices.ContainsFunc(records, isEarlier)
+	if isNew || len(lost) > 0 && r.restoration.pending == nil {
+		r.restoration = r.newRestoration(end)
+	}
+}
+
 // newRestoration returns a restoration that begins now.
 func (r *Replica) newRestoration(end crlid.Position) restoration {
 	return restoration{from: end, until: r.config.Now().Add(r.config.Restoration.Window), pending: make(map[string]crlplatform.KeyedRecord)}
@@ -99,9 +109,6 @@
 
 // addPending adds what the store has of keys whose records are in force although it has lost them, as a source states it.
 func (r *Replica) addPending(lost []crlplatform.KeyedRecord, end crlid.Position) {
-	if len(lost) > 0 && r.restoration.pending == nil {
-		r.restoration = r.newRestoration(end)
-	}
 	for _, record := range lost {
 		if held, ok := r.records[record.Key]; ok && held.record.Position.Era < end.Era {
 			r.setPending(record)
--- a/crlrelay/restoration_test.go
+++ b/crlrelay/restoration_test.go
@@ -28,6 +28,12 @@
 			store.write("a", false)
 			source.catchUp(store, now)
 		}, 3},
+		{"an older record that a router which starts has read late", true, func(store *modelStore, source, follower *eraNode, now crlclock.Instant) {
+			follower.restart(func() crlclock.Instant { return now }, true)
+			store.restore(1)
+			follower.readStore(store, now)
+			source.catchUp(store, now)
+		}, 2},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			clock := crlclock.Instant(time.Hour)
