crlrelay: let a source state a key by what the store has of it

Callers would see (DRAIN): after the store came back twice, a router drops a server that is there.

Change: what a source states of lost records counts for their keys.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -123,8 +123,9 @@
 	}
 	all := slices.Clone(records)
 	for _, record := range lost {
+		stated[record.Key] = record
 		if held, ok := r.records[record.Key]; ok && held.record.Position.Era == end.Era {
-			all, stated[record.Key] = append(all, record), record
+			all = append(all, record)
 		}
 	}
 	for key, held := range r.records {
--- a/crlrelay/restoration_test.go
+++ b/crlrelay/restoration_test.go
@@ -13,26 +13,36 @@
 	for _, test := range []struct {
 		name    string
 		ordered bool // whether records tell their order
-		play    func(store *modelStore, source, follower *eraNode, now crlclock.Instant)
+		play    func(store *modelStore, source, follower *eraNode, now crlclock.Clock)
 		want    int // write of the key that is in force at the follower in the end, 0 for none
 	}{
-		{"a deletion that the source holds back", false, func(store *modelStore, source, follower *eraNode, now crlclock.Instant) {
+		{"a deletion that the source holds back", false, func(store *modelStore, source, follower *eraNode, now crlclock.Clock) {
 			store.restore(2)
-			follower.catchUp(store, now)
+			follower.catchUp(store, now())
 			store.write("a", true)
-			source.catchUp(store, now)
+			source.catchUp(store, now())
 		}, 0},
-		{"a record that the source holds back", false, func(store *modelStore, source, follower *eraNode, now crlclock.Instant) {
+		{"a record that the source holds back", false, func(store *modelStore, source, follower *eraNode, now crlclock.Clock) {
 			store.restore(0)
-			follower.catchUp(store, now)
+			follower.catchUp(store, now())
 			store.write("a", false)
-			source.catchUp(store, now)
+			source.catchUp(store, now())
 		}, 3},
-		{"an older record that a router which starts has read late", true, func(store *modelStore, source, follower *eraNode, now crlclock.Instant) {
-			follower.restart(func() crlclock.Instant { return now }, true)
+		{"a record of the former era that the source, two returns behind, holds back", false, func(store *modelStore, source, follower *eraNode, now crlclock.Clock) {
+			store.write("a", true)
+			source.catchUp(store, now())
+			store.restore(2)
+			store.write("a", false)
+			follower.restart(now, false)
+			follower.catchUp(store, now())
+			store.restore(3)
+			source.catchUp(store, now())
+		}, 4},
+		{"an older record that a router which starts has read late", true, func(store *modelStore, source, follower *eraNode, now crlclock.Clock) {
+			follower.restart(now, true)
 			store.restore(1)
-			follower.readStore(store, now)
-			source.catchUp(store, now)
+			follower.readStore(store, now())
+			source.catchUp(store, now())
 		}, 2},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -46,7 +56,7 @@
 				n.restart(now, test.ordered)
 				n.catchUp(store, clock)
 			}
-			test.play(store, source, follower, clock)
+			test.play(store, source, follower, now)
 			follower.call("source", source.server)
 			follower.end(true)
 			if follower.read != nil {
