crlrelay: keep a newer note when a lost record turns out to be there

Callers would see (DRAIN): after the store came back from an older copy, a router that starts sends requests to a server that has left, for good.

Cause: another router told it that the store has a deletion, which it noted for the end of the window. Its own read of the store, made before the deletion and late, brought the record in force once more and took the note away.

Change: a record takes away notes that are not newer.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -183,7 +183,7 @@
 		}
 		same := ok && r.config.Same != nil && !record.Deleted && !before.record.Deleted && r.config.Same(before.record, record)
 		if same {
-			delete(r.restoration.pending, record.Key)
+			r.dropPending(record)
 			r.records[record.Key] = versionedRecord{record: record, change: before.change, compressed: new(compressedValue)}
 			continue
 		}
@@ -208,7 +208,7 @@
 		r.deleted--
 	}
 	r.records[record.Key] = held
-	delete(r.restoration.pending, record.Key)
+	r.dropPending(record)
 }
 
 // lastValue returns the value of the record, or the one that its key had before it was deleted.
--- a/crlrelay/restoration.go
+++ b/crlrelay/restoration.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// dropPending forgets what the store has of the key of a record that is held now, unless that is newer.
+func (r *Replica) dropPending(record crlplatform.KeyedRecord) {
+	if known, ok := r.restoration.pending[record.Key]; ok && !record.Position.Before(known.Position) {
+		delete(r.restoration.pending, record.Key)
+	}
+}
+
 // keepsLost reports whether records that the store has lost stay in force.
 func (r *Replica) keepsLost() bool {
 	return r.restoration.pending != nil && (r.config.Restoration.Own || r.config.Now() < r.restoration.until)
--- a/crlrelay/restoration_test.go
+++ b/crlrelay/restoration_test.go
@@ -38,6 +38,13 @@
 			store.restore(3)
 			source.catchUp(store, now())
 		}, 4},
+		{"a deletion that the source holds back, and a late read", false, func(store *modelStore, source, follower *eraNode, now crlclock.Clock) {
+			follower.restart(now, false)
+			store.restore(2)
+			follower.readStore(store, now())
+			store.write("a", true)
+			source.catchUp(store, now())
+		}, 0},
 		{"an older record that a router which starts has read late", true, func(store *modelStore, source, follower *eraNode, now crlclock.Clock) {
 			follower.restart(now, true)
 			store.restore(1)
