crlrelay: forget a restored record that was deleted again

Callers would see (DRAIN): after the store came back from an older copy, a router sends requests to a server that left before, once the window is over.

Cause: the copy has the server's record, which a router notes while its deletion stays in force. The deletion is written again, and the router takes all records of another one that had the deletion all along: nothing is stated of the key, and the note is applied at the end of the window.

Change: all records without a key that is held as deleted take away the note of it. Followers get all records anew, as they may have the note too.

--- a/crlrelay/replica.go
+++ b/crlrelay/replica.go
@@ -131,6 +131,9 @@
 	for key, held := range r.records {
 		// A source may have an older deletion of the key: it got all records after a later one.
 		record, isStated := stated[key]
+		if held.record.Deleted && (!isStated || record.Deleted) {
+			r.dropPendingBefore(key, end)
+		}
 		isPresent := isStated && (!record.Deleted || !record.Position.Before(held.record.Position))
 		if isPresent || held.record.Deleted || !held.record.Position.Before(end) {
 			continue
--- a/crlrelay/restoration.go
+++ b/crlrelay/restoration.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// dropPendingBefore forgets what the store had of a key before its end, where it has no such key: the key was deleted again. Followers get all records anew.
+func (r *Replica) dropPendingBefore(key string, end crlid.Position) {
+	if known, ok := r.restoration.pending[key]; ok && known.Position.Before(end) {
+		delete(r.restoration.pending, key)
+		r.lastChange++
+		r.forgotten = r.lastChange
+	}
+}
+
 // keepsLost reports whether records that the store has lost stay in force.
 func (r *Replica) keepsLost() bool {
 	return r.restoration.pending != nil && (r.config.Restoration.Own || r.config.Now() < r.restoration.until)
--- a/crlrelay/restoration_test.go
+++ b/crlrelay/restoration_test.go
@@ -45,6 +45,15 @@
 			store.write("a", true)
 			source.catchUp(store, now())
 		}, 0},
+		{"a deletion that was written again", false, func(store *modelStore, source, follower *eraNode, now crlclock.Clock) {
+			store.write("a", true)
+			source.catchUp(store, now())
+			follower.catchUp(store, now())
+			store.restore(2)
+			follower.catchUp(store, now())
+			store.writeAgain()
+			source.catchUp(store, now())
+		}, 0},
 		{"an older record that a router which starts has read late", true, func(store *modelStore, source, follower *eraNode, now crlclock.Clock) {
 			follower.restart(now, true)
 			store.restore(1)
