State in a request's line when its answers broke off

What operators saw: a line of a request that crashed servers said "status":0 and "cause":"EOF", which is also what a lost answer looks like; breaks within a stream left no trace if another server went on.

Change: each send has how far its answer had come when the connection ended (before, head, body), and whether the server then refused connections. No decision changes.

Evidence: TestLinesTellHowFarBrokenAnswersCame.

--- a/crlforward/explain_test.go
+++ b/crlforward/explain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,6 +23,8 @@
 		Server string `json:"server"`
 		Status int    `json:"status"`
 		Cause  string `json:"cause"`
+		Broken string `json:"broken"`
+		Ended  bool   `json:"server-ended"`
 	} `json:"sends"`
 	Configuration    *int64   `json:"configuration"`
 	Cause            string   `json:"cause"`
@@ -78,6 +81,30 @@
 	})
 }
 
+// TestLinesTellHowFarBrokenAnswersCame checks that the line of a request shows when servers ended under it.
+func TestLinesTellHowFarBrokenAnswersCame(t *testing.T) {
+	for _, tc := range []struct {
+		path, broken string
+		step         step
+		ended        bool
+	}{
+		{"/read/1", "before", losesAnswer, true},
+		{"/read/1", "before", losesAnswer, false},
+		{"/read/1", "body", breaksAfter("do"), true},
+		{"/draft/1", "head", breaksAfter(""), false},
+		{"/draft/1", "body", breaksAfter(events(1, 1)), false},
+	} {
+		c := newCluster(tc.step, answers(events(2, 2)))
+		if tc.ended {
+			c.probeErr = syscall.ECONNREFUSED
+		}
+		c.call(t.Context(), tc.path, nil)
+		if l := c.findLine(t, "r1"); len(l.Sends) != 2 || l.Sends[0].Broken != tc.broken || l.Sends[0].Ended != tc.ended || l.Sends[1].Broken != "" {
+			t.Errorf("%s: line %+v does not show that the answer broke off at %s and the server had ended: %t", tc.path, l, tc.broken, tc.ended)
+		}
+	}
+}
+
 // TestLinesOfCutRequestsTellTheDaemonsState checks that a stream that was cut off can be told apart from one that was cut by a
 // drain or beside a new configuration.
 func TestLinesOfCutRequestsTellTheDaemonsState(t *testing.T) {
--- a/crlforward/quarantine.go
+++ b/crlforward/quarantine.go
@@ -77,6 +77,7 @@
 	if x.stream.started || ctx.Err() != nil || !s.probes.hasEnded(ctx, pick.Address) {
 		return
 	}
+	x.recordEnded()
 	s.reachability.recordFailed(pick.Address)
 	if !s.reachability.cutOff.Load() {
 		s.addCrash(x, pick)
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlquarantine"
 )
 
 // stream records how much of its answer the caller of a request has got.
@@ -43,6 +44,9 @@
 	for {
 		event, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
+			if ctx.Err() == nil {
+				x.recordBroken(streamMoment(events.count))
+			}
 			if events.count == 0 {
 				s.recordCrash(ctx, x, pick)
 			}
@@ -82,6 +86,14 @@
 	}
 }
 
+// streamMoment returns how far a stream has come of which a number of events have arrived.
+func streamMoment(events int) crlquarantine.Moment {
+	if events == 0 {
+		return crlquarantine.MomentHead
+	}
+	return crlquarantine.MomentBody
+}
+
 // continuation judges the events of an answer that may have to go on with a stream of which the caller has a part.
 type continuation struct {
 	stream *stream
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
+	"github.com/cranberrylock/cranberrylock/crlquarantine"
 	"github.com/cranberrylock/cranberrylock/crlroute"
 )
 
@@ -250,6 +251,9 @@
 		}
 		return verdictAgain
 	}
+	if ctx.Err() == nil {
+		x.recordBroken(crlquarantine.MomentBefore)
+	}
 	s.recordLostAnswer(ctx, x, pick)
 	result.Outcome = failureOutcome(ctx)
 	comparison.recordOutcome(*result)
@@ -299,6 +303,9 @@
 			return verdictFinal, crlfleet.OutcomeNeutral
 		}
 		x.trace.cause = err.Error()
+		if ctx.Err() == nil {
+			x.recordBroken(crlquarantine.MomentBody)
+		}
 		s.recordLostAnswer(ctx, x, pick)
 		return s.retryVerdict(x), failureOutcome(ctx)
 	}
--- a/crlforward/trace.go
+++ b/crlforward/trace.go
@@ -8,6 +8,7 @@
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlid"
 	"github.com/cranberrylock/cranberrylock/crllog"
+	"github.com/cranberrylock/cranberrylock/crlquarantine"
 )
 
 // Events that a Service logs.
@@ -26,6 +27,9 @@
 	Status      int     `json:"status"`
 	FirstByteMS float64 `json:"first-ms"`
 	Cause       string  `json:"cause,omitempty"`
+	// Broken is how far the answer had come when its connection ended, empty if that didn't happen or this router ended it.
+	Broken string `json:"broken,omitempty"`
+	Ended  bool   `json:"server-ended,omitempty"` // whether the server then refused connections, for sends that looked
 }
 
 // trace collects what a request's log line and the metrics report.
@@ -47,6 +51,20 @@
 	})
 }
 
+// recordBroken adds to the newest send of the trace how far its answer had come when its connection ended.
+func (x *exchange) recordBroken(moment crlquarantine.Moment) {
+	if n := len(x.trace.sends); n > 0 {
+		x.trace.sends[n-1].Broken = moment.String()
+	}
+}
+
+// recordEnded adds to the newest send of the trace that its server has ended.
+func (x *exchange) recordEnded() {
+	if n := len(x.trace.sends); n > 0 {
+		x.trace.sends[n-1].Ended = true
+	}
+}
+
 // finish logs a request that has ended and adds it to the metrics. status is the HTTP status that the caller got, 0 when the
 // answer was cut off.
 func (s *Service) finish(x *exchange, status int) {
