Reproduce crashing requests and answers that are not whole, as failing tests

The servers of crashing_part_test.go take the moment of the crash and go on after the caller's last event; the cases that were there pass unchanged.

--- a/crlrouter/crashing_part_test.go
+++ b/crlrouter/crashing_part_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,7 +26,10 @@
 )
 
 // streamCodec decodes configurations with a single route, of streams that may be resumed.
-type streamCodec struct{ testCodec }
+type streamCodec struct {
+	testCodec
+	once bool // whether the streams may not be resumed instead
+}
 
 func (c streamCodec) DecodeOrder(r crlplatform.KeyedRecord) (Order, error) {
 	order, err := c.testCodec.DecodeOrder(r)
@@ -33,7 +37,7 @@
 		order.Table = crlroute.NewTable(crlroute.TableConfig{
 			Version: order.Table.Version(), Services: []crlroute.Service{{Name: "s", Slots: 48}},
 			Routes: []crlroute.Route{{
-				Name: "draft", Host: "h", Prefix: "/", Kind: crlroute.KindStream, Resumable: true, Attempts: 3, Timeout: 10 * time.Second,
+				Name: "draft", Host: "h", Prefix: "/", Kind: crlroute.KindStream, Resumable: !c.once, Attempts: 3, Timeout: 10 * time.Second,
 				Targets: []crlroute.Target{{Service: "s", Weight: 1}},
 			}},
 		})
@@ -54,6 +58,7 @@
 
 func (partDialect) EncodeAttempt(h http.Header, a crlforward.Attempt) {
 	h.Set("X-Server", string(a.Server))
+	h.Set("X-After", strconv.FormatInt(a.LastEvent, 10))
 }
 
 func (partDialect) DecodeAnswer(_ int, h http.Header) crlforward.AnswerHead {
@@ -68,8 +73,12 @@
 	answerEvents = 5
 )
 
-// crashingServers stands for backend servers that crash when they begin an answer on certain parts. It is an http.RoundTripper.
+// beforeHead is the crashAfter of servers that crash before they send the head of an answer.
+const beforeHead = -1
+
+// crashingServers stands for backend servers that crash when they answer on certain parts. It is an http.RoundTripper.
 type crashingServers struct {
+	crashAfter int // events after which servers crash, or beforeHead
 	mu        sync.Mutex
 	deadly    map[string]bool
 	servers   map[string]*crashingServer
@@ -145,27 +154,67 @@
 		return nil, r.Context().Err()
 	case <-time.After(prefillTime):
 	}
+	if c.crashAfter == beforeHead && part != "" {
+		c.crash(name, part)
+		return nil, io.EOF
+	}
 	body, writer := io.Pipe()
-	go c.answer(r.Context(), name, part, crashed, writer)
+	go c.answer(r.Context(), name, part, lastEvent(r), crashed, writer)
 	return &http.Response{
 		StatusCode: http.StatusOK, Header: http.Header{"X-Request": {r.Header.Get("X-Request")}}, Body: body,
 		ContentLength: -1, TransferEncoding: []string{"chunked"},
 	}, nil
 }
 
-// answer writes the events of an answer, or crashes its server.
-func (c *crashingServers) answer(ctx context.Context, name, part string, crashed <-chan struct{}, w *io.PipeWriter) {
-	if part != "" {
-		c.mu.Lock()
-		if s := c.server(name); !time.Now().Before(s.downUntil) {
-			c.crashes[part] = append(c.crashes[part], time.Now())
+// crash crashes a server that runs a request with a deadly part.
+func (c *crashingServers) crash(name, part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.server(name); !time.Now().Before(s.downUntil) {
+		c.crashes[part] = append(c.crashes[part], time.Now())
+		s.crash()
+	}
+}
+
+// crashMany crashes the servers whose names have one of the given ends.
+func (c *crashingServers) crashMany(ends ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, s := range c.servers {
+		if slices.ContainsFunc(ends, func(end string) bool { return strings.HasSuffix(name, end) }) && !time.Now().Before(s.downUntil) {
 			s.crash()
 		}
-		c.mu.Unlock()
 	}
-	for n := range answerEvents {
+}
+
+// probe is the routers' probe of a server by its address, which is its name.
+func (c *crashingServers) probe(_ context.Context, address string) error {
+	time.Sleep(time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.server(address).downUntil) {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+// lastEvent returns the number of the last event that the caller of a request has.
+func lastEvent(r *http.Request) int {
+	n, _ := strconv.Atoi(r.Header.Get("X-After"))
+	return n
+}
+
+// answer writes the events of an answer from one on, or crashes its server after crashAfter of them.
+func (c *crashingServers) answer(ctx context.Context, name, part string, from int, crashed <-chan struct{}, w *io.PipeWriter) {
+	for n := from; n <= answerEvents; n++ {
+		if part != "" && n >= c.crashAfter {
+			c.crash(name, part)
+		}
+		if n == answerEvents {
+			break
+		}
 		pause := eventTime
-		if n == 0 {
+		if n == from {
 			pause = firstEventIn
 		}
 		select {
@@ -181,7 +230,12 @@
 			return
 		}
 	}
-	_ = w.Close()
+	select {
+	case <-crashed:
+		_ = w.CloseWithError(io.ErrUnexpectedEOF)
+	default:
+		_ = w.Close()
+	}
 }
 
 // callers sends requests to the routers of a test and counts how they end.
@@ -251,15 +305,19 @@
 	contact     = 3 * time.Second // time in which what is known of a part must reach all routers in present deployments
 )
 
-// runOnCrashingServers runs a test on routers with servers that crash on some parts.
+// runOnCrashingServers runs a test on routers with servers that crash on some parts, before their first events.
 func runOnCrashingServers(t *testing.T, count, servers int, deadly []string, test func(*crashingServers, *callers, *memoryStore)) {
+	runOnServers(t, count, servers, newCrashingServers(deadly...), streamCodec{}, test)
+}
+
+// runOnServers runs a test on routers with the given servers and route.
+func runOnServers(t *testing.T, count, servers int, backend *crashingServers, codec streamCodec, test func(*crashingServers, *callers, *memoryStore)) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
 		store.put("orders", "config", "1")
-		backend := newCrashingServers(deadly...)
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newCluster(store)
-		c.codec, c.dialect, c.transport = streamCodec{}, partDialect{}, backend
+		c.codec, c.dialect, c.transport, c.probe = codec, partDialect{}, backend, backend.probe
 		for n := range servers {
 			store.put("servers", fmt.Sprint("i-", n), "v1")
 		}
