Take only well-formed, whole answers from servers, routers and the store

Cause: net/http takes more for an answer than HTTP/1.1 allows. It ends an answer without a length with the connection, whatever ended that, and the kernel reports a reset to one call only: when the write of the request gets it, the read finds a plain end. It hands on a status of any three digits, keeps a name with blanks as a field of its own, so that nothing frames the body, joins continued lines and prefers chunks to a length. The class: a lenient reader's word is taken for the server's.

Change: crlanswer checks the bytes of each head before net/http reads them, on every answer of a connection, and judges each end of a connection by how the write of the request ended. An answer that ends early is believed if the server reads on: the write succeeds, or nothing has reset it within 300 ms, as a host whose process has gone does within a round trip. A server that answers early and closes counts as one that ended. Attempts, handovers, the store's client, the daemon's client of engines and services, that of the platform, and the callers of the soak and the load tool use it; crlpeer doesn't speak HTTP, and a reply of it that is cut off is no JSON.

TestConnectionsHaveNoUserTimeout looks at the connections below the checks, as before.

--- a/crldaemon/serve.go
+++ b/crldaemon/serve.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrylock/cranberrylock/crladmin"
+	"github.com/cranberrylock/cranberrylock/crlanswer"
 	"github.com/cranberrylock/cranberrylock/crlconn"
 	"github.com/cranberrylock/cranberrylock/crlengine"
 	"github.com/cranberrylock/cranberrylock/crlentry"
@@ -189,5 +190,5 @@
 // platformClient returns an HTTP client without a total time-out; calls to the platform are bounded by their contexts.
 func platformClient() *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerServer}}
+	return &http.Client{Transport: crlanswer.NewTransport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerServer})}
 }
--- a/crlengine/client.go
+++ b/crlengine/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/cranberrylock/cranberrylock/crlanswer"
 	"github.com/cranberrylock/cranberrylock/crlid"
 )
 
@@ -218,7 +219,7 @@
 func send(client *http.Client, request *http.Request, server crlid.Server, isAnswer func(status int) bool) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := client.Do(request.WithContext(crlanswer.WithTrace(request.Context(), trace)))
 	if err != nil {
 		fault := FaultUnreachable
 		if connected.Load() {
--- a/crlengine/transport.go
+++ b/crlengine/transport.go
@@ -6,18 +6,20 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlanswer"
 )
 
 // maxHeadBytes bounds the head of an answer, so that one without end takes little memory.
 const maxHeadBytes = 64 << 10
 
 // newTransport returns a transport that uses no proxy. If unpooled is true, it opens a connection for each request.
-func newTransport(config ClientConfig, unpooled bool) *http.Transport {
+func newTransport(config ClientConfig, unpooled bool) *crlanswer.Transport {
 	dial := config.Dial
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	return &http.Transport{
+	return crlanswer.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, config.ConnectTimeout)
 			defer cancel()
@@ -28,7 +30,7 @@
 		MaxIdleConnsPerHost:    config.IdlePerServer,
 		ResponseHeaderTimeout:  config.HeaderTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 }
 
 // sendByKey is the context key of a ServiceAttempt's SendBy time.
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlanswer"
 	"github.com/cranberrylock/cranberrylock/crlbudget"
 	"github.com/cranberrylock/cranberrylock/crlfleet"
 	"github.com/cranberrylock/cranberrylock/crlquarantine"
@@ -152,7 +153,7 @@
 		},
 	}
 	defer watchHead(clientTrace, cancel)()
-	response, err = s.config.Transport.RoundTrip(x.newRequest(httptrace.WithClientTrace(ctx, clientTrace), address, header))
+	response, err = s.config.Transport.RoundTrip(x.newRequest(crlanswer.WithTrace(ctx, clientTrace), address, header))
 	connected = err == nil || hasConnection.Load()
 	if connected {
 		x.reached, x.retryPaid = true, false
--- a/crlforward/transport.go
+++ b/crlforward/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/crlanswer"
 )
 
 const (
@@ -32,7 +34,12 @@
 //
 // TCP_USER_TIMEOUT is not set: it closes a connection after a single unanswered keep-alive probe, and one whose server is alive
 // but does not read on.
-func NewTransport(config TransportConfig) *http.Transport {
+func NewTransport(config TransportConfig) *crlanswer.Transport {
+	return crlanswer.NewTransport(newUncheckedTransport(config))
+}
+
+// newUncheckedTransport returns the transport of net/http under that of NewTransport.
+func newUncheckedTransport(config TransportConfig) *http.Transport {
 	if config.Dial == nil {
 		config.Dial = (&net.Dialer{
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
--- a/crlforward/transport_test.go
+++ b/crlforward/transport_test.go
@@ -133,7 +133,7 @@
 // keep-alive probes end a connection, whatever their number.
 func TestConnectionsHaveNoUserTimeout(t *testing.T) {
 	listener := listenForFilters(t)
-	connection, err := NewTransport(TransportConfig{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	connection, err := newUncheckedTransport(TransportConfig{}).DialContext(t.Context(), "tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/crlload/caller.go
+++ b/crlload/caller.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/cranberrylock/cranberrylock/crlanswer"
 	"github.com/cranberrylock/cranberrylock/crlengine"
 	"github.com/cranberrylock/cranberrylock/crlentry"
 )
@@ -47,9 +48,9 @@
 
 func newCaller(maxOpen int) *caller {
 	dialer := &net.Dialer{Timeout: time.Second}
-	return &caller{client: &http.Client{Transport: &http.Transport{
+	return &caller{client: &http.Client{Transport: crlanswer.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxOpen, DisableCompression: true,
-	}}}
+	})}}
 }
 
 // call sends one call of a flow and reads its answer to the end. Latencies count from the time at which it was due.
--- a/crlrouter/crashing_part_test.go
+++ b/crlrouter/crashing_part_test.go
@@ -79,11 +79,11 @@
 // crashingServers stands for backend servers that crash when they answer on certain parts. It is an http.RoundTripper.
 type crashingServers struct {
 	crashAfter int // events after which servers crash, or beforeHead
-	mu        sync.Mutex
-	deadly    map[string]bool
-	servers   map[string]*crashingServer
-	crashes   map[string][]time.Time // by deadly part
-	deadlyRun map[string][]time.Time // sends with a deadly part that reached a server, by part
+	mu         sync.Mutex
+	deadly     map[string]bool
+	servers    map[string]*crashingServer
+	crashes    map[string][]time.Time // by deadly part
+	deadlyRun  map[string][]time.Time // sends with a deadly part that reached a server, by part
 }
 
 // crashingServer is one server; crashed is closed and replaced when it crashes.
--- a/crlsoak/caller.go
+++ b/crlsoak/caller.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cranberrylock/cranberrylock/crlanswer"
 	"github.com/cranberrylock/cranberrylock/platform/standin"
 )
 
@@ -49,10 +50,10 @@
 
 // newClient returns a client that shares no connections with other clients.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: crlanswer.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 1, DisableCompression: true,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}}
+	})}
 }
 
 // run sends requests until ctx ends. It waits for the outcome of the last one.
