Keep crashes that are not written when another router deletes a record

What callers saw: a part that crashes servers within its answers was kept from them some seconds late, with 5 to 9 sends more than allowed (one in ten runs of TestPartThatCrashesServersAtAnyMomentIsKeptFromThem).

Cause: a router that deletes the record of a suspect knows what the store has. Others dropped their whole entry then, with crashes that they had seen and not yet written, up to a quarantine.

Change: the entry keeps the crashes that weren't in the store's record, and writes them again.

--- a/crlquarantine/registry.go
+++ b/crlquarantine/registry.go
@@ -48,6 +48,7 @@
 	changedAt crlclock.Instant
 	roundAt   crlclock.Instant // when this daemon learnt of the first crash of the newest round
 	stored    bool             // the store has a record of the suspect
+	inStore   []Crash          // the crashes of that record
 	dirty     bool             // the record has what the store doesn't
 	cleared   bool             // an answer has refuted the record or it is old, so the store's record is to be deleted
 	// clearedByStart is set with cleared if an answer that began has refuted the record, as it would not refute any.
@@ -331,7 +332,7 @@
 	if e == nil {
 		return
 	}
-	e.stored = true
+	e.stored, e.inStore = true, record.Crashes
 	if e.cleared && (!e.clearedByStart || record.refutedByStart()) {
 		return // Its record is deleted next.
 	}
@@ -342,14 +343,27 @@
 	r.update(e, merged, now, "servers crashed, as another daemon observed")
 }
 
-// Remove removes the record of a suspect that the store no longer has.
+// Remove removes the record of a suspect that the store no longer has. Crashes that this daemon has yet to write stay: whoever deleted the record did not know
+// of them.
 func (r *Registry) Remove(suspect Suspect) {
+	now := r.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e, ok := r.entries[suspect]; ok {
-		r.update(e, Record{Suspect: suspect}, r.config.Now(), "another daemon released it")
+	e, ok := r.entries[suspect]
+	if !ok {
+		return
+	}
+	left := Record{Suspect: suspect}
+	if !e.cleared {
+		left.Crashes = slices.DeleteFunc(slices.Clone(e.record.Crashes), func(c Crash) bool { return slices.ContainsFunc(e.inStore, c.is) })
+	}
+	r.update(e, left, now, "another daemon released it")
+	e.stored, e.inStore = false, nil
+	if len(left.Crashes) == 0 {
 		delete(r.entries, suspect)
+		return
 	}
+	r.touch(e, now)
 }
 
 // Idle reports whether nothing is suspected, so that callers need not find the suspects of a request.
--- a/crlquarantine/registry_test.go
+++ b/crlquarantine/registry_test.go
@@ -224,6 +224,28 @@
 	})
 }
 
+// TestDeletionSparesCrashesThatAreNotWritten guards against crashes that a daemon has seen and forgets before it has written them, because another one that does
+// not know of them deletes the record.
+func TestDeletionSparesCrashesThatAreNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry(false)
+		r.Apply(Record{Suspect: "a", Crashes: []Crash{{Request: "r0", Server: "i-0", Moment: MomentBefore, Round: 1}}})
+		crashAt(r, MomentBody, 1, 1, "a")
+		time.Sleep(roundTime)
+		crashAt(r, MomentBody, 2, 2, "a")
+		r.Remove("a")
+		due := r.Due()
+		if len(due) != 1 || due[0].Delete || len(due[0].Record.Crashes) != 2 || !r.Check([]Suspect{"a"}).Quarantined {
+			t.Errorf("due are %+v, want both crashes of this daemon, and the part kept from servers", due)
+		}
+		r.Apply(due[0].Record)
+		r.Remove("a")
+		if due := r.Due(); len(due) != 0 || r.Check([]Suspect{"a"}).Quarantined {
+			t.Errorf("due are %+v after the deletion of what was written, want nothing", due)
+		}
+	})
+}
+
 // TestProbesBecomeRare checks that the owner of a part sends probes at growing times, and others none.
 func TestProbesBecomeRare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
