Suspect parts also when servers end just after answers, or go on with a stream

An answer that begins elsewhere says nothing about a server that goes on with a stream, and an answer that is complete nothing about a server that doesn't outlive it.

Change: a break of a stream that goes on counts as one within the body. While parts are suspected or servers have just ended, an answer clears its parts only once its server has outlived it by 250 ms; over a handover, the router that sent the request decides. Servers that leave end as planned: they crash on nothing, whatever they cut off.

TestServersThatLeaveQuarantineNothing fails without the check.

--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -236,6 +236,13 @@
 	FirstByte time.Duration // time to the first byte of the answer, 0 if there was none
 }
 
+// IsLeaving reports whether the server has said that it leaves, or has no entry any more, so that its end is planned.
+func (p *Pick) IsLeaving() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.server.removed || p.server.entry.Leaving || p.server.statedLeaving
+}
+
 // RecordFirstByte records that the answer has begun, and the time to its first byte. For a send that ended without an answer,
 // it may record the time waited instead. It may only be called before Done.
 func (p *Pick) RecordFirstByte(firstByte time.Duration) {
--- a/crlforward/quarantine.go
+++ b/crlforward/quarantine.go
@@ -21,6 +21,9 @@
 	crowdTime = 100 * time.Millisecond
 	// minCrowd is the number of servers that end together with those of a request from which on these aren't taken for the request's work.
 	minCrowd = 3
+	// settleTime is the time for which a server has to outlive an answer that clears parts, if servers have ended within unrestTime.
+	settleTime = 250 * time.Millisecond
+	unrestTime = 3 * time.Second
 )
 
 // serverEnd is the end of a server that ran a request.
@@ -85,13 +88,13 @@
 
 // recordBreak records that the connection of a send ended before the answer did, which had come to a moment, and whether that was since its server ended. A
 // server that only lost the answer goes on accepting connections; a stream that breaks between its head and its first event is how most servers crash. An end
-// for a reason on this VM, or because the server's host fell silent, is none; nor is one over another router, which records it itself.
+// for a reason on this VM, because the server's host fell silent or because it left, is none; nor is one over another router, which records it itself.
 func (s *Service) recordBreak(ctx context.Context, x *exchange, pick *crlfleet.Pick, moment crlquarantine.Moment) {
 	if ctx.Err() != nil {
 		return
 	}
 	x.recordBroken(moment)
-	if pick == nil {
+	if pick == nil || pick.IsLeaving() {
 		return
 	}
 	if moment != crlquarantine.MomentHead {
@@ -112,10 +115,7 @@
 // addEnd adds the end of a server to those of the request. If the request is suspected already, or has crashed several servers, that is recorded before the
 // next send.
 func (s *Service) addEnd(x *exchange, pick *crlfleet.Pick, moment crlquarantine.Moment) {
-	end := &serverEnd{crash: crlquarantine.Crash{Request: x.head.Request, Server: pick.Server, Moment: moment}, at: s.config.Now()}
-	if !pick.StartedAt.IsZero() {
-		end.crash.Born = pick.StartedAt.UnixMilli()
-	}
+	end := s.newEnd(x, pick, moment)
 	s.crowd.record(pick.Server, end.at)
 	x.ends, x.endedLast = append(x.ends, end), true
 	end.apart = s.crowd.others(x.ends, end.at) < minCrowd
@@ -127,6 +127,15 @@
 	}
 }
 
+// newEnd returns the end of a server under the request, as of now.
+func (s *Service) newEnd(x *exchange, pick *crlfleet.Pick, moment crlquarantine.Moment) *serverEnd {
+	end := &serverEnd{crash: crlquarantine.Crash{Request: x.head.Request, Server: pick.Server, Moment: moment}, at: s.config.Now()}
+	if !pick.StartedAt.IsZero() {
+		end.crash.Born = pick.StartedAt.UnixMilli()
+	}
+	return end
+}
+
 // recordWorking records the end of a server that worked on the request for its parts: at once if they have crashed others so, or if this request has, otherwise
 // as soon as it shows whether servers ended together.
 func (s *Service) recordWorking(x *exchange, end *serverEnd) {
@@ -167,10 +176,31 @@
 	s.config.Quarantine.RecordStart(s.suspects(x, x.sharedParts()))
 }
 
-// recordCompletion records that an answer to the request is complete, which clears the request and the given ones of its parts.
-func (s *Service) recordCompletion(x *exchange, parts []crlquarantine.Suspect) {
+// recordCompletion records that an answer to the request is complete, which clears the request and the given ones of its parts. If these are suspected, or
+// servers have just ended, it clears them only once the server has outlived the answer for a while; over another router, which does so, it doesn't.
+func (s *Service) recordCompletion(x *exchange, pick *crlfleet.Pick, parts []crlquarantine.Suspect) {
 	x.completed = true
-	s.config.Quarantine.RecordCompletion(s.suspects(x, parts))
+	switch {
+	case pick == nil:
+		s.config.Quarantine.RecordCompletion(s.suspects(x, nil))
+	case len(parts) == 0 || !s.crowd.isUnrest(s.config.Now()) && !s.config.Quarantine.Suspects(parts...):
+		s.config.Quarantine.RecordCompletion(s.suspects(x, parts))
+	default:
+		s.config.Quarantine.RecordCompletion(s.suspects(x, nil))
+		end := s.newEnd(x, pick, crlquarantine.MomentBody)
+		time.AfterFunc(settleTime, func() { s.settle(pick, end, parts) })
+	}
+}
+
+// settle records an answer that was complete some time ago for the parts of its prompt: as the crash of its server if that has ended since, and did not leave.
+func (s *Service) settle(pick *crlfleet.Pick, end *serverEnd, parts []crlquarantine.Suspect) {
+	switch {
+	case pick.IsLeaving() || !s.crowd.endedSince(pick.Server, end.at) && !s.probes.hasEnded(context.Background(), pick.Address):
+		s.config.Quarantine.RecordCompletion(parts)
+	case !s.reachability.cutOff.Load():
+		s.crowd.record(pick.Server, s.config.Now())
+		s.config.Quarantine.RecordCrash(end.observation(), parts)
+	}
 }
 
 // suspects returns the given parts of the request, and the whole request if anything is suspected.
@@ -183,21 +213,40 @@
 
 // serverCrowd tells whether servers ended together.
 type serverCrowd struct {
-	mu    sync.Mutex                        // guards ended
-	ended map[crlid.Server]crlclock.Instant // when each server ended last, as far as this router saw; at most maxCrowd
+	mu     sync.Mutex                        // guards the fields below
+	ended  map[crlid.Server]crlclock.Instant // when each server ended last, as far as this router saw; at most maxCrowd
+	latest crlclock.Instant                  // of ended
 }
 
 const maxCrowd = 256
 
-// record records that a server ended. Several sends may break with it.
+// isUnrest reports whether a server ended within unrestTime of a moment.
+func (c *serverCrowd) isUnrest(at crlclock.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ended) > 0 && at.Sub(c.latest) < unrestTime
+}
+
+// endedSince reports whether a server has ended since a moment.
+func (c *serverCrowd) endedSince(server crlid.Server, at crlclock.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ended, ok := c.ended[server]
+	return ok && ended >= at
+}
+
+// record records that a server ended, unless that is known already: several sends break with it, and others are refused until its entry is removed.
 func (c *serverCrowd) record(server crlid.Server, at crlclock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if ended, ok := c.ended[server]; ok && at.Sub(ended) < unrestTime {
+		return
+	}
 	if len(c.ended) >= maxCrowd {
-		maps.DeleteFunc(c.ended, func(_ crlid.Server, ended crlclock.Instant) bool { return at.Sub(ended) > 2*crowdTime })
+		maps.DeleteFunc(c.ended, func(_ crlid.Server, ended crlclock.Instant) bool { return at.Sub(ended) >= unrestTime })
 	}
 	if len(c.ended) < maxCrowd {
-		c.ended[server] = at
+		c.ended[server], c.latest = at, at
 	}
 }
 
--- a/crlforward/quarantine_test.go
+++ b/crlforward/quarantine_test.go
@@ -132,6 +132,31 @@
 	}
 }
 
+// TestServersThatLeaveQuarantineNothing guards against requests that are kept from servers because others cut them off at the end of their planned stops.
+func TestServersThatLeaveQuarantineNothing(t *testing.T) {
+	for _, path := range []string{"/file/1", "/once/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			var c *cluster
+			cut := func(answer step) step {
+				return func(r *http.Request) (*http.Response, error) {
+					c.fleet.Remove(crlid.Server(r.Header.Get("X-Server"))) // As that of a server that stops without a word.
+					return answer(r)
+				}
+			}
+			c = newCluster(cut(losesAnswer), cut(breaksAfter(events(1, 1))), cut(losesAnswer), answers(events(1, 2)))
+			c.probeErr = syscall.ECONNREFUSED
+			for n := range 3 {
+				c.call(t.Context(), path, map[string]string{"X-Request": fmt.Sprint("r", n), "X-Parts": "a,own"})
+				time.Sleep(1100 * time.Millisecond)
+			}
+			if got, _ := c.call(t.Context(), path, map[string]string{"X-Request": "r3", "X-Parts": "a,own"}); got.Code != http.StatusOK {
+				t.Errorf("%s: got %d %q after three servers have left, want 200", path, got.Code, got.Body)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // TestCallersThatLeaveQuarantineNothing guards against parts that are kept from servers because callers leave, or deadlines pass, before
 // answers begin.
 func TestCallersThatLeaveQuarantineNothing(t *testing.T) {
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -44,7 +44,7 @@
 	for {
 		event, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
-			s.recordBreak(ctx, x, pick, streamMoment(events.count))
+			s.recordBreak(ctx, x, pick, part.moment(events.count))
 			return s.handleBrokenStream(ctx, x, err)
 		}
 		if events.count == 1 && err == nil {
@@ -73,7 +73,7 @@
 			}
 		}
 		if err != nil {
-			s.recordCompletion(x, x.sharedParts())
+			s.recordCompletion(x, pick, x.sharedParts())
 			return verdictAnswered, crlfleet.OutcomeAnswered
 		}
 		if flushErr := controller.Flush(); flushErr != nil {
@@ -82,14 +82,6 @@
 	}
 }
 
-// streamMoment returns how far a stream has come of which a number of events have arrived.
-func streamMoment(events int) crlquarantine.Moment {
-	if events == 0 {
-		return crlquarantine.MomentHead
-	}
-	return crlquarantine.MomentBody
-}
-
 // continuation judges the events of an answer that may have to go on with a stream of which the caller has a part.
 type continuation struct {
 	stream *stream
@@ -115,6 +107,15 @@
 	}
 }
 
+// moment returns how far the stream has come when a number of events of the answer have arrived. That an answer begins elsewhere doesn't refute the crash of a
+// server that went on with a stream.
+func (c *continuation) moment(events int) crlquarantine.Moment {
+	if events == 0 && c.fresh && c.stream.lastEvent == 0 {
+		return crlquarantine.MomentHead
+	}
+	return crlquarantine.MomentBody
+}
+
 // callerFailed ends a request whose caller can't be written to.
 func (x *exchange) callerFailed(err error) (verdict, crlfleet.Outcome) {
 	x.trace.cause = err.Error()
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -245,6 +245,9 @@
 		if result.Outcome = dialOutcome(err); result.Outcome == crlfleet.OutcomeUnreachable {
 			s.reachability.recordFailed(pick.Address)
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.crowd.record(pick.Server, s.config.Now())
+		}
 		if x.stream.started {
 			// The dial may have failed because of this VM's own link, so the server stays a candidate.
 			delete(x.tried, pick.Server)
@@ -319,20 +322,20 @@
 	if !complete {
 		return s.relayOversized(ctx, x, pick, answer, response)
 	}
-	s.recordPlainCompletion(x, response)
+	s.recordPlainCompletion(x, pick, response)
 	answer.write(x.writer)
 	return verdictAnswered, crlfleet.OutcomeAnswered
 }
 
 // recordPlainCompletion records that a plain answer is complete. A server may reject a request without reading its prompt, and one for a stream without
 // running it.
-func (s *Service) recordPlainCompletion(x *exchange, response *http.Response) {
+func (s *Service) recordPlainCompletion(x *exchange, pick *crlfleet.Pick, response *http.Response) {
 	switch {
 	case x.route.Kind == crlroute.KindStream || response.StatusCode >= http.StatusInternalServerError:
 	case response.StatusCode >= http.StatusMultipleChoices:
-		s.recordCompletion(x, nil)
+		s.recordCompletion(x, pick, nil)
 	default:
-		s.recordCompletion(x, x.sharedParts())
+		s.recordCompletion(x, pick, x.sharedParts())
 	}
 }
 
@@ -351,7 +354,7 @@
 		}
 		return verdictFinal, crlfleet.OutcomeFailed
 	}
-	s.recordPlainCompletion(x, response)
+	s.recordPlainCompletion(x, pick, response)
 	return verdictAnswered, crlfleet.OutcomeAnswered
 }
 
--- a/crlrouter/crashing_part_test.go
+++ b/crlrouter/crashing_part_test.go
@@ -73,8 +73,12 @@
 	answerEvents = 5
 )
 
-// beforeHead is the crashAfter of servers that crash before they send the head of an answer.
-const beforeHead = -1
+// Values of crashAfter for servers that crash before they send the head of an answer, and some time after its end.
+const (
+	beforeHead = -1
+	afterEnd   = answerEvents + 1
+	outlived   = 20 * time.Millisecond // time from the end of an answer to such a crash
+)
 
 // crashingServers stands for backend servers that crash when they answer on certain parts. It is an http.RoundTripper.
 type crashingServers struct {
@@ -235,6 +239,10 @@
 		_ = w.CloseWithError(io.ErrUnexpectedEOF)
 	default:
 		_ = w.Close()
+		if part != "" && c.crashAfter == afterEnd {
+			time.Sleep(outlived)
+			c.crash(name, part)
+		}
 	}
 }
 
