Keep sound parts out of the quarantine beside crashes in small fleets

An answer that its server didn't outlive, and a request that ended at two servers, are common in a small fleet that loses one server after the other. A crash between head and first event waited 100 ms and counted less beside another one. A part that had been at the same servers explained the crashes of the one that caused them, so that requests with that one were sent.

Change: where a server may have run many requests, a part needs four crashes without an answer that refutes them. A crash between head and first event counts at once again, and less only beside three other servers that end. A quarantined part explains only its own crashes; what it leaves of another part's must suffice for a quarantine.

TestMomentsAndRoundsDecide has the number of crashes.

--- a/crlfleet/pick.go
+++ b/crlfleet/pick.go
@@ -50,7 +50,6 @@
 	Server            crlid.Server
 	Address           string
 	Version           crlid.Version
-	StartedAt         time.Time     // when the server's process started, the zero time if it didn't state that
 	ExpectedFirstByte time.Duration // time to the first byte on an unloaded server
 	fleet             *Fleet
 	server            *server
@@ -101,7 +100,7 @@
 	segment := &l.segments[s.segment]
 	segment.begin(now)
 	*p = Pick{
-		Server: s.entry.Server, Address: s.entry.Address, Version: s.entry.Version, StartedAt: s.entry.StartedAt,
+		Server: s.entry.Server, Address: s.entry.Address, Version: s.entry.Version,
 		ExpectedFirstByte: need.ExpectedFirstByte, fleet: f, server: s, load: l, work: need.Work, workAfter: need.WorkAfter,
 		pickedAt: now, segment: segment,
 	}
--- a/crlforward/handover.go
+++ b/crlforward/handover.go
@@ -327,7 +327,7 @@
 		v, _ := s.relayOversized(ctx, x, nil, answer, response)
 		return v
 	}
-	s.recordPlainCompletion(x, nil, response)
+	s.recordPlainCompletion(x, response)
 	answer.write(x.writer)
 	return verdictAnswered
 }
--- a/crlforward/quarantine.go
+++ b/crlforward/quarantine.go
@@ -21,9 +21,8 @@
 	crowdTime = 100 * time.Millisecond
 	// minCrowd is the number of servers that end together with those of a request from which on these aren't taken for the request's work.
 	minCrowd = 3
-	// settleTime is the time for which a server has to outlive an answer that clears parts, if servers have ended within unrestTime.
-	settleTime = 250 * time.Millisecond
-	unrestTime = 3 * time.Second
+	// knownTime is the time for which the end of a server is known, so that it isn't taken for another one.
+	knownTime = 3 * time.Second
 )
 
 // serverEnd is the end of a server that ran a request.
@@ -31,8 +30,6 @@
 	crash crlquarantine.Crash
 	at    crlclock.Instant
 	apart bool // whether few other servers had just ended
-	// record is set while the crash is recorded for the parts later, unless other servers end at the same time.
-	record *time.Timer
 }
 
 // sharedParts returns the parts of the request's prompt that other requests may have too: all but the last.
@@ -115,48 +112,21 @@
 // addEnd adds the end of a server to those of the request. If the request is suspected already, or has crashed several servers, that is recorded before the
 // next send.
 func (s *Service) addEnd(x *exchange, pick *crlfleet.Pick, moment crlquarantine.Moment) {
-	end := s.newEnd(x, pick, moment)
+	end := &serverEnd{crash: crlquarantine.Crash{Request: x.head.Request, Server: pick.Server, Moment: moment}, at: s.config.Now()}
 	s.crowd.record(pick.Server, end.at)
 	x.ends, x.endedLast = append(x.ends, end), true
 	end.apart = s.crowd.others(x.ends, end.at) < minCrowd
-	if moment == crlquarantine.MomentHead {
-		s.recordWorking(x, end)
+	switch {
+	case moment == crlquarantine.MomentHead && end.apart:
+		s.config.Quarantine.RecordCrash(end.observation(), x.sharedParts())
+	case moment == crlquarantine.MomentHead:
+		end.crash.Moment = crlquarantine.MomentBefore // What the server worked on tells little.
 	}
 	if len(x.ends) >= maxCrashes || s.config.Quarantine.Suspects(x.wholeRequest()) {
 		s.recordEnds(x)
 	}
 }
 
-// newEnd returns the end of a server under the request, as of now.
-func (s *Service) newEnd(x *exchange, pick *crlfleet.Pick, moment crlquarantine.Moment) *serverEnd {
-	end := &serverEnd{crash: crlquarantine.Crash{Request: x.head.Request, Server: pick.Server, Moment: moment}, at: s.config.Now()}
-	if !pick.StartedAt.IsZero() {
-		end.crash.Born = pick.StartedAt.UnixMilli()
-	}
-	return end
-}
-
-// recordWorking records the end of a server that worked on the request for its parts: at once if they have crashed others so, or if this request has, otherwise
-// as soon as it shows whether servers ended together.
-func (s *Service) recordWorking(x *exchange, end *serverEnd) {
-	parts := x.sharedParts()
-	if len(x.ends) < maxCrashes && !s.config.Quarantine.SuspectsWorking(parts...) {
-		crash := end.crash
-		end.record = time.AfterFunc(crowdTime, func() {
-			if s.crowd.others([]*serverEnd{end}, end.at) > 0 {
-				crash.Moment = crlquarantine.MomentBefore // What the server worked on tells little.
-			}
-			s.config.Quarantine.RecordCrash(crlquarantine.Observation{Crash: crash, At: end.at}, parts)
-		})
-		return
-	}
-	for _, e := range x.ends {
-		if e.crash.Moment == crlquarantine.MomentHead && (e.record == nil || e.record.Stop()) {
-			s.config.Quarantine.RecordCrash(e.observation(), parts)
-		}
-	}
-}
-
 // recordEnds records which servers ended with the request. Unless it is suspected already, that waits until it has crashed several or ends, as a request that
 // only was at a server that another one crashed gets its answer from the next.
 func (s *Service) recordEnds(x *exchange) {
@@ -176,31 +146,10 @@
 	s.config.Quarantine.RecordStart(s.suspects(x, x.sharedParts()))
 }
 
-// recordCompletion records that an answer to the request is complete, which clears the request and the given ones of its parts. If these are suspected, or
-// servers have just ended, it clears them only once the server has outlived the answer for a while; over another router, which does so, it doesn't.
-func (s *Service) recordCompletion(x *exchange, pick *crlfleet.Pick, parts []crlquarantine.Suspect) {
+// recordCompletion records that an answer to the request is complete, which clears the request and the given ones of its parts.
+func (s *Service) recordCompletion(x *exchange, parts []crlquarantine.Suspect) {
 	x.completed = true
-	switch {
-	case pick == nil:
-		s.config.Quarantine.RecordCompletion(s.suspects(x, nil))
-	case len(parts) == 0 || !s.crowd.isUnrest(s.config.Now()) && !s.config.Quarantine.Suspects(parts...):
-		s.config.Quarantine.RecordCompletion(s.suspects(x, parts))
-	default:
-		s.config.Quarantine.RecordCompletion(s.suspects(x, nil))
-		end := s.newEnd(x, pick, crlquarantine.MomentBody)
-		time.AfterFunc(settleTime, func() { s.settle(pick, end, parts) })
-	}
-}
-
-// settle records an answer that was complete some time ago for the parts of its prompt: as the crash of its server if that has ended since, and did not leave.
-func (s *Service) settle(pick *crlfleet.Pick, end *serverEnd, parts []crlquarantine.Suspect) {
-	switch {
-	case pick.IsLeaving() || !s.crowd.endedSince(pick.Server, end.at) && !s.probes.hasEnded(context.Background(), pick.Address):
-		s.config.Quarantine.RecordCompletion(parts)
-	case !s.reachability.cutOff.Load():
-		s.crowd.record(pick.Server, s.config.Now())
-		s.config.Quarantine.RecordCrash(end.observation(), parts)
-	}
+	s.config.Quarantine.RecordCompletion(s.suspects(x, parts))
 }
 
 // suspects returns the given parts of the request, and the whole request if anything is suspected.
@@ -213,40 +162,24 @@
 
 // serverCrowd tells whether servers ended together.
 type serverCrowd struct {
-	mu     sync.Mutex                        // guards the fields below
-	ended  map[crlid.Server]crlclock.Instant // when each server ended last, as far as this router saw; at most maxCrowd
-	latest crlclock.Instant                  // of ended
+	mu    sync.Mutex                        // guards ended
+	ended map[crlid.Server]crlclock.Instant // when each server ended last, as far as this router saw; at most maxCrowd
 }
 
 const maxCrowd = 256
 
-// isUnrest reports whether a server ended within unrestTime of a moment.
-func (c *serverCrowd) isUnrest(at crlclock.Instant) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.ended) > 0 && at.Sub(c.latest) < unrestTime
-}
-
-// endedSince reports whether a server has ended since a moment.
-func (c *serverCrowd) endedSince(server crlid.Server, at crlclock.Instant) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	ended, ok := c.ended[server]
-	return ok && ended >= at
-}
-
 // record records that a server ended, unless that is known already: several sends break with it, and others are refused until its entry is removed.
 func (c *serverCrowd) record(server crlid.Server, at crlclock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if ended, ok := c.ended[server]; ok && at.Sub(ended) < unrestTime {
+	if ended, ok := c.ended[server]; ok && at.Sub(ended) < knownTime {
 		return
 	}
 	if len(c.ended) >= maxCrowd {
-		maps.DeleteFunc(c.ended, func(_ crlid.Server, ended crlclock.Instant) bool { return at.Sub(ended) >= unrestTime })
+		maps.DeleteFunc(c.ended, func(_ crlid.Server, ended crlclock.Instant) bool { return at.Sub(ended) >= knownTime })
 	}
 	if len(c.ended) < maxCrowd {
-		c.ended[server], c.latest = at, at
+		c.ended[server] = at
 	}
 }
 
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -73,7 +73,7 @@
 			}
 		}
 		if err != nil {
-			s.recordCompletion(x, pick, x.sharedParts())
+			s.recordCompletion(x, x.sharedParts())
 			return verdictAnswered, crlfleet.OutcomeAnswered
 		}
 		if flushErr := controller.Flush(); flushErr != nil {
--- a/crlforward/send.go
+++ b/crlforward/send.go
@@ -322,20 +322,20 @@
 	if !complete {
 		return s.relayOversized(ctx, x, pick, answer, response)
 	}
-	s.recordPlainCompletion(x, pick, response)
+	s.recordPlainCompletion(x, response)
 	answer.write(x.writer)
 	return verdictAnswered, crlfleet.OutcomeAnswered
 }
 
 // recordPlainCompletion records that a plain answer is complete. A server may reject a request without reading its prompt, and one for a stream without
 // running it.
-func (s *Service) recordPlainCompletion(x *exchange, pick *crlfleet.Pick, response *http.Response) {
+func (s *Service) recordPlainCompletion(x *exchange, response *http.Response) {
 	switch {
 	case x.route.Kind == crlroute.KindStream || response.StatusCode >= http.StatusInternalServerError:
 	case response.StatusCode >= http.StatusMultipleChoices:
-		s.recordCompletion(x, pick, nil)
+		s.recordCompletion(x, nil)
 	default:
-		s.recordCompletion(x, pick, x.sharedParts())
+		s.recordCompletion(x, x.sharedParts())
 	}
 }
 
@@ -354,7 +354,7 @@
 		}
 		return verdictFinal, crlfleet.OutcomeFailed
 	}
-	s.recordPlainCompletion(x, pick, response)
+	s.recordPlainCompletion(x, response)
 	return verdictAnswered, crlfleet.OutcomeAnswered
 }
 
--- a/crlquarantine/record.go
+++ b/crlquarantine/record.go
@@ -13,7 +13,6 @@
 type Crash struct {
 	Request crlid.Request `json:"request"`
 	Server  crlid.Server  `json:"server"`
-	Born    int64         `json:"born,omitempty"` // start of the server's process, in milliseconds since the Unix epoch, 0 if not known
 	Moment  Moment        `json:"moment,omitempty"`
 	// Round separates crashes of a suspect that came one after the other from those that came together, as when a failure domain loses its power. It
 	// grows from 1 on; 0 is that of earlier versions.
@@ -27,7 +26,7 @@
 func (c Crash) compare(other Crash) int {
 	return cmp.Or(
 		cmp.Compare(c.Round, other.Round), cmp.Compare(c.Server, other.Server), cmp.Compare(c.Request, other.Request),
-		cmp.Compare(c.Moment, other.Moment), cmp.Compare(c.Born, other.Born),
+		cmp.Compare(c.Moment, other.Moment),
 	)
 }
 
@@ -46,6 +45,7 @@
 	minRequests       = 2   // requests with a suspect that must have crashed servers before it is quarantined
 	minServers        = 2   // servers that must have crashed with a suspect before it is quarantined
 	minRounds         = 2   // rounds in which servers must have crashed with a part before it is quarantined, unless they certainly worked on its requests
+	minCrashes        = 4   // crashes without an answer that refutes them before a part is quarantined, unless servers certainly worked on its requests
 	maxValueBytes     = 16 << 10
 )
 
@@ -93,7 +93,7 @@
 			working.add(c)
 		}
 	}
-	return working.suffices() || all.suffices() && (r.Suspect.isRequest() || len(all.rounds) >= minRounds)
+	return working.suffices() || all.suffices() && (r.Suspect.isRequest() || len(all.rounds) >= minRounds && len(r.Crashes) >= minCrashes)
 }
 
 // refutedByStart reports whether an answer that begins shows that the suspect doesn't crash servers: they have crashed before their answers began only.
@@ -122,18 +122,20 @@
 // has reports whether a crash is on record.
 func (r Record) has(crash Crash) bool { return slices.ContainsFunc(r.Crashes, crash.is) }
 
-// explains reports whether every crash of another suspect is one of this one too. That is so if a request with this one was at the server as it ended, unless
-// the server had begun to answer the request with the other.
+// explains reports whether every crash of another suspect is one of this one too.
 func (r Record) explains(other Record) bool {
-	for _, c := range other.Crashes {
-		explained := slices.ContainsFunc(r.Crashes, func(own Crash) bool {
-			return own.is(c) || c.Moment != MomentHead && c.Born != 0 && own.Server == c.Server && own.Born == c.Born
-		})
-		if !explained {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(other.Crashes, func(c Crash) bool { return !r.has(c) })
+}
+
+// hasWorking reports whether a server crashed that certainly worked on a request with the suspect.
+func (r Record) hasWorking() bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Moment == MomentHead })
+}
+
+// without returns the record without the crashes of another suspect.
+func (r Record) without(other Record) Record {
+	r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), other.has)
+	return r
 }
 
 // explainsAll reports whether every crash of the suspects of some entries is one of this suspect too.
--- a/crlquarantine/registry.go
+++ b/crlquarantine/registry.go
@@ -140,10 +140,15 @@
 	return blocking[0], len(blocking) == 1
 }
 
-// explainedWithout reports whether a quarantined suspect that a request lacks explains all crashes of one of its suspects.
+// explainedWithout reports whether a quarantined suspect that a request lacks explains the quarantine of one of its suspects: all of its crashes, or, if both are
+// parts, so many that those would not suffice whose servers may have run other requests.
 func (r *Registry) explainedWithout(e *entry, suspects []Suspect) bool {
 	for suspect, other := range r.entries {
-		if other.quarantined && !slices.Contains(suspects, suspect) && other.record.explains(e.record) {
+		if !other.quarantined || slices.Contains(suspects, suspect) {
+			continue
+		}
+		left := e.record.without(other.record)
+		if len(left.Crashes) == 0 || !suspect.isRequest() && !left.hasWorking() && !left.quarantined() {
 			return true
 		}
 	}
@@ -373,26 +378,12 @@
 	return len(r.entries) == 0
 }
 
-// Suspects reports whether a crash of any of the suspects is on record.
-func (r *Registry) Suspects(suspects ...Suspect) bool {
-	return r.hasRecord(suspects, func(record Record) bool { return len(record.Crashes) > 0 })
-}
-
-// SuspectsWorking reports whether a crash of any of the suspects is on record whose server certainly worked on the request.
-func (r *Registry) SuspectsWorking(suspects ...Suspect) bool {
-	return r.hasRecord(suspects, func(record Record) bool {
-		return slices.ContainsFunc(record.Crashes, func(c Crash) bool { return c.Moment == MomentHead })
-	})
-}
-
-// hasRecord reports whether a record of any of the suspects fulfils a condition.
-func (r *Registry) hasRecord(suspects []Suspect, fulfils func(Record) bool) bool {
+// Suspects reports whether a crash of the suspect is on record.
+func (r *Registry) Suspects(suspect Suspect) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(suspects, func(p Suspect) bool {
-		e := r.entries[p]
-		return e != nil && fulfils(e.record)
-	})
+	e := r.entries[suspect]
+	return e != nil && len(e.record.Crashes) > 0
 }
 
 // Changed returns a channel that gets a token when Due may return changes.
