Don't suspect parts of streams that this router gives up

What callers saw: requests with a part got 503 for crashes-servers after two streams whose first event was larger than the room for events, or did not end within 2 s, though no server had ended.

Any error before the first event counted as the end of the server, the router's own included.

Change: errors for lack of room or time are none of the connection.

Evidence: TestEventsThatAreGivenUpQuarantineNothing, both cases failed before.

--- a/crlforward/incomplete.go
+++ b/crlforward/incomplete.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,9 +47,10 @@
 type eventReader struct {
 	events *bufio.Reader
 	timer  *time.Timer
-	framed bool   // whether the answer has a length or chunks; any other ends with its connection, whatever the reason
-	count  int    // events so far
-	buffer []byte // of the latest event
+	late   atomic.Bool // whether the timer has closed the stream
+	framed bool        // whether the answer has a length or chunks; any other ends with its connection, whatever the reason
+	count  int         // events so far
+	buffer []byte      // of the latest event
 	// service and exchange count what the buffer takes beyond freeHeldBytes.
 	service  *Service
 	exchange *exchange
@@ -61,10 +63,11 @@
 func (s *Service) newEventReader(x *exchange, response *http.Response) (r *eventReader, stop func()) {
 	body := response.Body
 	// The timer runs only while an event is incomplete.
-	r = &eventReader{
-		events: bufio.NewReader(body), timer: time.AfterFunc(longestWait, func() { _ = body.Close() }), framed: isFramed(response),
-		service: s, exchange: x,
-	}
+	r = &eventReader{events: bufio.NewReader(body), framed: isFramed(response), service: s, exchange: x}
+	r.timer = time.AfterFunc(longestWait, func() {
+		r.late.Store(true)
+		_ = body.Close()
+	})
 	r.timer.Stop()
 	return r, func() {
 		r.timer.Stop()
@@ -77,6 +80,11 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
+// endedHere reports whether an error of next is due to this router, which has no room or no more time for an event, and not to the end of the connection.
+func (r *eventReader) endedHere(err error) bool {
+	return r.late.Load() || errors.Is(err, errNoEventRoom)
+}
+
 // next returns the next event, which is valid until the following call, io.EOF at the end of the stream, or errInsideEvent if it ends where it can't be complete.
 func (r *eventReader) next() ([]byte, error) {
 	event, err := r.read()
--- a/crlforward/quarantine_test.go
+++ b/crlforward/quarantine_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -157,6 +159,56 @@
 	}
 }
 
+// endlessBody is a body that brings the same bytes again and again, with a pause before each read, until it is closed.
+type endlessBody struct {
+	text   string
+	pause  time.Duration
+	closed atomic.Bool
+}
+
+func (e *endlessBody) Read(b []byte) (int, error) {
+	time.Sleep(e.pause)
+	if e.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return copy(b, e.text), nil
+}
+
+func (e *endlessBody) Close() error {
+	e.closed.Store(true)
+	return nil
+}
+
+// TestEventsThatAreGivenUpQuarantineNothing guards against parts that are kept from servers because a first event was larger than the room for it, or did not
+// end in time: the server was there.
+func TestEventsThatAreGivenUpQuarantineNothing(t *testing.T) {
+	for _, tc := range []struct {
+		name, text string
+		pause      time.Duration
+	}{{"no room", strings.Repeat("x", 1<<10), 0}, {"no end in time", "x", 100 * time.Millisecond}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				endless := func(r *http.Request) (*http.Response, error) {
+					connect(r)
+					response := newResponse(r, http.StatusOK, signed, nil)
+					response.Body = &endlessBody{text: tc.text, pause: tc.pause}
+					return response, nil
+				}
+				c := newCluster(endless, endless, endless, answers(events(1, 2)))
+				c.service.held.limit = 256 << 10
+				for n := range 3 {
+					c.call(t.Context(), "/once/1", map[string]string{"X-Request": fmt.Sprint("r", n), "X-Parts": "a,own", "X-Body": fmt.Sprint(n)})
+				}
+				c.confirmedAt = c.now()
+				got, _ := c.call(t.Context(), "/once/1", map[string]string{"X-Request": "r3", "X-Parts": "a,own"})
+				if got.Code != http.StatusOK {
+					t.Errorf("got %d %q, want 200", got.Code, got.Body)
+				}
+			})
+		})
+	}
+}
+
 // TestCallersThatLeaveQuarantineNothing guards against parts that are kept from servers because callers leave, or deadlines pass, before
 // answers begin.
 func TestCallersThatLeaveQuarantineNothing(t *testing.T) {
--- a/crlforward/relay.go
+++ b/crlforward/relay.go
@@ -44,7 +44,9 @@
 	for {
 		event, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
-			s.recordBreak(ctx, x, pick, part.moment(events.count))
+			if !events.endedHere(err) {
+				s.recordBreak(ctx, x, pick, part.moment(events.count))
+			}
 			return s.handleBrokenStream(ctx, x, err)
 		}
 		if events.count == 1 && err == nil {
