Keep the platform's names out of the router's tests

TestWireNamesAppearOnlyInAdapter failed on: the tests with processes wrote the platform's headers themselves. platform/standin sets and reads them now.

--- a/cmd/cranberrylock-router/crashing_part_test.go
+++ b/cmd/cranberrylock-router/crashing_part_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/cranberrylock/cranberrylock/platform/standin"
 )
 
 // TestProcessKeepsAPartFromServersThatItCrashes guards against a part that goes on crashing servers (BUDGET), and against sound requests that fail with it
@@ -19,7 +21,7 @@
 		servers     = 14
 		requests    = 8 // of three attempts each, enough to crash all
 		mostCrashes = 9 // three requests
-		head        = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s"
+		head        = "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s"
 		event       = "id: 1\ndata: a\n\n"
 		rest        = "id: 2\ndata: b\n\n"
 	)
@@ -34,12 +36,12 @@
 				}
 				_, _ = io.Copy(io.Discard, request.Body)
 				text := event + rest
-				deadly := strings.Contains(request.Header.Get("Prompt-Prefix"), "dead")
+				deadly := strings.Contains(standin.Prompt(request.Header), "dead")
 				if deadly {
 					text = event
 				}
 				if !deadly || form == "after an event" {
-					_, _ = fmt.Fprintf(connection, head, request.Header.Get("Request-Id"), len(event+rest), text)
+					_, _ = fmt.Fprintf(connection, head, standin.AnswerHeader(request), len(event+rest), text)
 				}
 				if deadly {
 					time.Sleep(10 * time.Millisecond)
--- a/cmd/cranberrylock-router/whole_answer_test.go
+++ b/cmd/cranberrylock-router/whole_answer_test.go
@@ -41,8 +41,7 @@
 	if form != "reset" {
 		_, _ = io.Copy(io.Discard, request.Body)
 	}
-	header := fmt.Sprintf("Request-Id: %s\r\nResponse-Stamp: s\r\n", request.Header.Get("Request-Id"))
-	_, _ = fmt.Fprintf(connection, badAnswers[form], header)
+	_, _ = fmt.Fprintf(connection, badAnswers[form], standin.AnswerHeader(request))
 	if form == "reset" {
 		_ = connection.SetLinger(0)
 	}
@@ -101,9 +100,7 @@
 	request.Host = standin.Host
 	standin.SetHeaders(request.Header, standin.RequestHead{Request: id, Key: "key", Deadline: 5 * time.Second})
 	if parts != "" {
-		request.Header.Set("Model", "*")
-		request.Header.Set("Token-Counts", "650,20")
-		request.Header.Set("Prompt-Prefix", parts)
+		standin.SetPrompt(request.Header, parts)
 	}
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
 	if err != nil {
