--- a/review/third/superseded/main.go
+++ b/review/third/superseded/main.go
@@ -1,9 +1,11 @@
 //go:build review
 
-// Command superseded orders a roll-out of a bad version and, while it runs, one back to the version before. It counts the requests that reach the bad one.
+// Command superseded orders a roll-out of a bad version and, while it runs, one back to the version before,
+// or to the good version that the variable SECOND names. It counts the requests that reach the bad one.
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -97,7 +99,14 @@
 	time.Sleep(time.Until(ordered.Add(supersededIn)))
 	if os.Getenv("TROUBLE") != "0" {
 		r.Note("status when the second order is written: %s", r.Store.Newest(statusTopic, orderKey))
-		order("v1")
+		second := cmp.Or(os.Getenv("SECOND"), "v1")
+		order(second)
+		time.Sleep(startTime)
+		if len(all[second]) == 0 {
+			if err := start(second, 0); err != nil {
+				return rig.Failed, err
+			}
+		}
 	}
 	for rolledBack := false; time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		status := r.Store.Newest(statusTopic, orderKey)
