--- a/review/third/rig/engine.go
+++ b/review/third/rig/engine.go
@@ -21,7 +21,8 @@
 	rig      *Rig
 	mu       sync.Mutex // guards the fields below
 	sequence int
-	state    string // empty once the server has left
+	state    string    // empty once the server has left
+	beat     time.Time // of the latest heartbeat
 	arrivals []time.Time
 	failures []time.Time // when answers with status 500 were sent
 }
@@ -67,6 +68,7 @@
 		return
 	}
 	e.sequence++
+	e.beat = time.Now()
 	e.rig.Store.Put(standin.ServersTopic, e.ID, JSON(map[string]any{
 		"service": e.Service, "addr": e.Address, "zone": e.Zone, "version": e.Version, "slots": 6, "state": e.state, "coldLeftMs": 0,
 		"sequence": e.sequence, "born": e.rig.Start.UnixMilli(),
@@ -126,3 +128,17 @@
 	defer e.mu.Unlock()
 	return append([]time.Time(nil), e.failures...)
 }
+
+// WaitBeat waits for the next heartbeat.
+func (e *Engine) WaitBeat() {
+	before := time.Now()
+	for {
+		e.mu.Lock()
+		beat := e.beat
+		e.mu.Unlock()
+		if beat.After(before) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
