--- a/review/third/lateconfig/main.go
+++ b/review/third/platform/lateconfig/main.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/cranberrylock/cranberrylock/platform/standin"
-	"github.com/cranberrylock/cranberrylock/review/third/rig"
+	"github.com/cranberrylock/cranberrylock/review/third/platform/rig"
 )
 
 const (
